--- /dev/null
+++ b/admission/predict.go
@@ -0,0 +1,73 @@
+package admission
+
+import (
+	"fmt"
+	"time"
+
+	hbs "github.com/hornbeamstage/hornbeamstage"
+)
+
+// giveUp returns the time at which w is refused if it still waits (rule 7).
+func (q *queue) giveUp(w *waiter) (at time.Time, limited bool) {
+	if w.index < 0 {
+		return at, false
+	}
+	at = time.Now().Add(q.c.Policy.Duration(KnobMaxWait, q.scope(w.req)))
+	if d := w.req.Deadline; !d.IsZero() && d.Add(-w.service).Before(at) {
+		at = d.Add(-w.service)
+	}
+	return at, true
+}
+
+// early applies rule 6 to a w that has to wait.
+func (q *queue) early(w *waiter) *hbs.Refusal {
+	if !q.pace.known() {
+		return nil
+	}
+	wait := q.wait(w)
+	left := q.c.Policy.Duration(KnobMaxWait, q.scope(w.req))
+	if d := w.req.Deadline; !d.IsZero() {
+		left = min(left, time.Until(d)-w.service)
+	}
+	if wait <= left {
+		return nil
+	}
+	q.refused += refusedRate * (1 - q.refused)
+	q.c.count("admission_refused_early", 1)
+	return hbs.NotRun(hbs.ReasonDeadline, fmt.Sprintf("predicted wait %s", wait.Round(time.Millisecond)), q.retryAfter(w, left))
+}
+
+// tooSlow applies rule 7 to the endpoint chosen for w. Light requests are not
+// refused for a prediction: while prefixes are computed for the first time, more
+// of them are answered in time than are predicted to be.
+func (q *queue) tooSlow(w *waiter, p *hbs.Placement) *hbs.Refusal {
+	if w.req.Deadline.IsZero() || q.rankOf(w) < rankHeavy {
+		return nil
+	}
+	need := p.FirstToken + seconds(*q.pace.delay(p)) + q.pace.decode(w.req, w.flow.ratio)
+	if need <= time.Until(w.req.Deadline) {
+		return nil
+	}
+	q.pace.relax(p)
+	q.refused += refusedRate * (1 - q.refused)
+	q.c.count("admission_refused_late", 1)
+	return hbs.NotRun(hbs.ReasonDeadline, fmt.Sprintf("predicted time %s", need.Round(time.Millisecond)), minRetryAfter)
+}
+
+// wait predicts how long w waits, itself included (rule 6).
+func (q *queue) wait(w *waiter) time.Duration {
+	l := q.lane(w)
+	rate := q.pace.rate()
+	if other := q.lanes[laneShort+laneLong-laneOf(w)]; other.n > 0 {
+		rate *= l.share
+	}
+	return seconds(l.ahead(w.flow) / rate)
+}
+
+// retryAfter tells when w would find a wait of at most left.
+func (q *queue) retryAfter(w *waiter, left time.Duration) time.Duration {
+	if !q.pace.known() {
+		return minRetryAfter
+	}
+	return max(q.wait(w)-max(left, 0), minRetryAfter)
+}
--- /dev/null
+++ b/belief/belief_test.go
@@ -0,0 +1,135 @@
+package belief_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	hbs "github.com/hornbeamstage/hornbeamstage"
+	"github.com/hornbeamstage/hornbeamstage/belief"
+)
+
+func TestBelief(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "belief")
+}
+
+var start = time.Unix(1_000_000, 0)
+
+func after(d time.Duration) time.Time { return start.Add(d) }
+
+var _ = Describe("Table", func() {
+	It("finds what was put last and nothing that was dropped, whatever the order (rule 3)", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			table := belief.NewTable(1<<12, start)
+			type pair struct {
+				key  hbs.LevelKey
+				life belief.Life
+			}
+			want := map[pair]time.Duration{}
+			for range rapid.IntRange(1, 60).Draw(t, "steps") {
+				p := pair{hbs.LevelKey(rapid.Uint64Range(1, 5).Draw(t, "key") << 40), belief.Life(rapid.IntRange(1, 5).Draw(t, "life"))}
+				at := time.Duration(rapid.IntRange(0, 1000).Draw(t, "at")) * time.Second
+				if rapid.Bool().Draw(t, "drop") {
+					table.Drop(p.key, p.life)
+					delete(want, p)
+					continue
+				}
+				table.Put(p.key, p.life, after(at))
+				want[p] = at
+			}
+			end := 2000 * time.Second
+			for key := hbs.LevelKey(1 << 40); key <= 5<<40; key += 1 << 40 {
+				for _, h := range table.Find(key, after(end), nil) {
+					if at, ok := want[pair{key, h.Life}]; !ok || at+h.Idle != end {
+						t.Fatalf("key %x on life %d: idle %v, want put at %v (%v)", key, h.Life, h.Idle, at, ok)
+					}
+					delete(want, pair{key, h.Life})
+				}
+			}
+			if len(want) > 0 {
+				t.Fatalf("not found: %v", want)
+			}
+		})
+	})
+
+	It("replaces the longest unused entry of a full set and stays in its memory (rules 1 and 3)", func() {
+		table := belief.NewTable(32, start)
+		size := table.Bytes()
+		for life := belief.Life(1); life <= 40; life++ {
+			table.Put(7, life, after(time.Duration(life)*time.Second))
+		}
+		Expect(table.Find(7, after(time.Minute), nil)).To(HaveLen(32))
+		Expect(table.Find(7, after(time.Minute), nil)).NotTo(ContainElement(HaveField("Life", belief.Life(1))))
+		Expect(table.Bytes()).To(Equal(size))
+	})
+
+	It("gives out a number of an ended life only after the sweep (rule 4)", func() {
+		var lives belief.Lives
+		table := belief.NewTable(64, start)
+		old := lives.Begin()
+		table.Put(7, old, start)
+		lives.End(old)
+		Expect(lives.Begin()).NotTo(Equal(old))
+		Expect(table.Sweep(start, lives.Ended)).To(BeZero())
+		lives.Reclaim()
+		Expect(lives.Begin()).To(Equal(old))
+		Expect(table.Find(7, start, nil)).To(BeEmpty())
+	})
+})
+
+var _ = Describe("Identity", func() {
+	It("takes a dead incarnation's late word for what it is (rule 4)", func() {
+		var id belief.Identity
+		id.Observe("1", "w1")
+		began, current := id.Observe("2", "")
+		Expect(began && current).To(BeTrue())
+		began, current = id.Observe("1", "w0")
+		Expect(began || current).To(BeFalse())
+		Expect(id.Weights).To(Equal(hbs.WeightsVersion("w1")))
+		began, _ = id.Observe("2", "w2")
+		Expect(began).To(BeTrue())
+	})
+})
+
+var _ = Describe("Age", func() {
+	It("learns how soon an endpoint evicts", func() {
+		var a belief.Age
+		Expect(a.Chance(20*time.Second, start)).To(Equal(1.0))
+		for range 20 {
+			a.Evicted(4 * time.Second)
+		}
+		Expect(a.Chance(20*time.Second, start)).To(BeZero())
+		Expect(a.Chance(time.Second, start)).To(Equal(1.0))
+	})
+
+	It("drops beliefs that may have been evicted in a gap", func() {
+		var a belief.Age
+		a.Lost(after(time.Minute))
+		Expect(a.Chance(31*time.Second, after(time.Minute))).To(BeZero())
+		Expect(a.Chance(20*time.Second, after(time.Minute))).To(Equal(1.0))
+	})
+})
+
+// The two-year size: a node reads the events of 10 of 333 engines, 294,000
+// cached blocks, and sends 55 requests a second of up to 96 levels, kept for two
+// minutes. 2^21 entries hold both with room to spare.
+func BenchmarkTableTwoYearShare(b *testing.B) {
+	const beliefs = 294_000 + 55*96*120
+	b.ReportAllocs()
+	var table *belief.Table
+	kept := 0
+	for b.Loop() {
+		table = belief.NewTable(1<<21, start)
+		for i := range uint64(beliefs) {
+			table.Put(hbs.LevelKey((i+1)*0x9e3779b97f4a7c15), belief.Life(i%333+1), start)
+		}
+		kept = table.Sweep(start, func(belief.Life) bool { return false })
+	}
+	b.ReportMetric(float64(table.Bytes())/(1<<20), "MB")
+	b.ReportMetric(float64(kept)/beliefs, "kept/put")
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*beliefs), "ns/put")
+}
--- /dev/null
+++ b/caller/response.go
@@ -0,0 +1,41 @@
+package caller
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+
+	hbs "github.com/hornbeamstage/hornbeamstage"
+)
+
+// refusalRecorder collects an answer outside of a handler.
+type refusalRecorder struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+// Header implements http.ResponseWriter.
+func (r *refusalRecorder) Header() http.Header { return r.header }
+
+// WriteHeader implements http.ResponseWriter.
+func (r *refusalRecorder) WriteHeader(status int) { r.status = status }
+
+// Write implements http.ResponseWriter.
+func (r *refusalRecorder) Write(p []byte) (int, error) { return r.body.Write(p) }
+
+// RefusalResponse returns r as the last answer of a connection, for places
+// without a ResponseWriter.
+func RefusalResponse(r *hbs.Refusal) *http.Response {
+	rec := &refusalRecorder{header: http.Header{}}
+	WriteRefusal(rec, r)
+	return &http.Response{
+		StatusCode:    rec.status,
+		ProtoMajor:    1,
+		ProtoMinor:    1,
+		Header:        rec.header,
+		Body:          io.NopCloser(&rec.body),
+		ContentLength: int64(rec.body.Len()),
+		Close:         true,
+	}
+}
--- /dev/null
+++ b/catalog/catalog.go
@@ -0,0 +1,71 @@
+// Package catalog gathers the tables of all parts: knobs and metrics. Help,
+// checks and pages come from them.
+package catalog
+
+import (
+	"slices"
+
+	hbs "github.com/hornbeamstage/hornbeamstage"
+	"github.com/hornbeamstage/hornbeamstage/admission"
+	"github.com/hornbeamstage/hornbeamstage/attempt"
+	"github.com/hornbeamstage/hornbeamstage/claim"
+	"github.com/hornbeamstage/hornbeamstage/config"
+	"github.com/hornbeamstage/hornbeamstage/entry"
+	"github.com/hornbeamstage/hornbeamstage/hedge"
+	"github.com/hornbeamstage/hornbeamstage/lease"
+	"github.com/hornbeamstage/hornbeamstage/limit"
+	"github.com/hornbeamstage/hornbeamstage/membership"
+	"github.com/hornbeamstage/hornbeamstage/mirror"
+	"github.com/hornbeamstage/hornbeamstage/order"
+	"github.com/hornbeamstage/hornbeamstage/peer"
+	"github.com/hornbeamstage/hornbeamstage/permit"
+	"github.com/hornbeamstage/hornbeamstage/placement"
+	"github.com/hornbeamstage/hornbeamstage/platform"
+	"github.com/hornbeamstage/hornbeamstage/retry"
+	"github.com/hornbeamstage/hornbeamstage/weights"
+)
+
+// Knobs returns all configurable values.
+func Knobs() []hbs.Knob {
+	return slices.Concat(
+		admission.Knobs,
+		attempt.Knobs,
+		claim.Knobs,
+		entry.Knobs,
+		hedge.Knobs,
+		lease.Knobs,
+		limit.Knobs,
+		order.Knobs,
+		permit.Knobs,
+		weights.Knobs,
+		membership.Knobs,
+		mirror.Knobs,
+		peer.Knobs,
+		placement.Knobs,
+		platform.Knobs,
+		retry.Knobs,
+	)
+}
+
+// Meters returns all metrics.
+func Meters() []hbs.Meter {
+	return slices.Concat(
+		admission.Meters,
+		attempt.Meters,
+		claim.Meters,
+		config.Meters,
+		entry.Meters,
+		hedge.Meters,
+		lease.Meters,
+		limit.Meters,
+		order.Meters,
+		permit.Meters,
+		weights.Meters,
+		membership.Meters,
+		mirror.Meters,
+		peer.Meters,
+		placement.Meters,
+		platform.Meters,
+		retry.Meters,
+	)
+}
--- /dev/null
+++ b/catalog/catalog_test.go
@@ -0,0 +1,78 @@
+package catalog_test
+
+import (
+	"bytes"
+	"flag"
+	"io"
+	"os"
+	"regexp"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hornbeamstage/hornbeamstage/catalog"
+	"github.com/hornbeamstage/hornbeamstage/config"
+	"github.com/hornbeamstage/hornbeamstage/settings"
+)
+
+var update = flag.Bool("update", false, "write the pages under docs")
+
+func TestCatalog(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "catalog")
+}
+
+var name = regexp.MustCompile(`^[a-z0-9]+(_[a-z0-9]+)*(\.[a-z0-9]+(_[a-z0-9]+)*)?$`)
+
+var _ = Describe("the tables", func() {
+	It("have unique knobs whose defaults are in range", func() {
+		seen := map[string]bool{}
+		for _, k := range catalog.Knobs() {
+			key := string(k.Key)
+			Expect(seen).NotTo(HaveKey(key))
+			seen[key] = true
+			Expect(key).To(MatchRegexp(name.String()))
+			Expect(k.Default).To(And(BeNumerically(">=", k.Min), BeNumerically("<=", k.Max)), key)
+			Expect(k.Title).NotTo(BeEmpty(), key)
+			Expect(k.Text).NotTo(BeEmpty(), key)
+			Expect(k.Unit).NotTo(BeEmpty(), key)
+		}
+	})
+
+	It("have unique metrics that say what to do", func() {
+		seen := map[string]bool{}
+		for _, m := range catalog.Meters() {
+			Expect(seen).NotTo(HaveKey(m.Name))
+			seen[m.Name] = true
+			Expect(m.Name).To(MatchRegexp(name.String()))
+			Expect(m.Title).NotTo(BeEmpty(), m.Name)
+			Expect(m.Action).NotTo(BeEmpty(), m.Name)
+		}
+	})
+})
+
+var _ = Describe("the examples", func() {
+	It("are valid", func() {
+		data, err := os.ReadFile("../examples/fleet.toml")
+		Expect(err).NotTo(HaveOccurred())
+		_, err = config.Decode("fleet.toml", data, catalog.Knobs())
+		Expect(err).NotTo(HaveOccurred())
+		_, err = settings.Read("../examples/settings.toml")
+		Expect(err).NotTo(HaveOccurred())
+	})
+})
+
+var _ = DescribeTable("the page", func(file string, write func(io.Writer) error) {
+	var b bytes.Buffer
+	Expect(write(&b)).To(Succeed())
+	if *update {
+		Expect(os.WriteFile(file, b.Bytes(), 0o644)).To(Succeed())
+	}
+	have, err := os.ReadFile(file)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(string(have)).To(Equal(b.String()), "run go test ./catalog -update")
+},
+	Entry("of knobs is current", "../docs/knobs.md", catalog.WriteKnobs),
+	Entry("of counters is current", "../docs/operations/counters.md", catalog.WriteMeters),
+)
--- /dev/null
+++ b/console/exit.go
@@ -0,0 +1,96 @@
+package console
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	hbs "github.com/hornbeamstage/hornbeamstage"
+	"github.com/hornbeamstage/hornbeamstage/config"
+)
+
+// Exit is the exit code of hornbeamctl.
+type Exit int
+
+// The exit codes. Their texts are in Exits.
+const (
+	ExitOK        Exit = 0
+	ExitFailed    Exit = 1
+	ExitUsage     Exit = 2
+	ExitFaults    Exit = 3
+	ExitConflict  Exit = 4
+	ExitPlatform  Exit = 5
+	ExitUncertain Exit = 6
+	ExitNotFound  Exit = 7
+	ExitWaited    Exit = 8
+	ExitPartial   Exit = 9
+	ExitDiffers   Exit = 10
+)
+
+// ExitInfo documents one exit code.
+type ExitInfo struct {
+	Exit Exit
+	Text string
+}
+
+// Exits is the table of all exit codes. The help and the operators' page come
+// from it.
+var Exits = []ExitInfo{
+	{ExitOK, "done"},
+	{ExitFailed, "another error; the message tells"},
+	{ExitUsage, "wrong command line"},
+	{ExitFaults, "the file has errors, each printed as file:line: text; nothing was written"},
+	{ExitConflict, "somebody else changed the same items; both versions are printed"},
+	{ExitPlatform, "the platform does not answer or refuses; nothing more was written"},
+	{ExitUncertain, "the platform's answer to a write was lost; run the command again"},
+	{ExitNotFound, "no such key, endpoint or object"},
+	{ExitWaited, "written, but not in force everywhere within the limit"},
+	{ExitPartial, "the report lacks instances that did not answer; they are named"},
+	{ExitDiffers, "diff found differences"},
+}
+
+// exitError carries the exit code of an error that has its own.
+type exitError struct {
+	error
+	exit Exit
+}
+
+// Unwrap returns the cause.
+func (e *exitError) Unwrap() error { return e.error }
+
+func failed(exit Exit, format string, args ...any) error {
+	return &exitError{errors.Newf(format, args...), exit}
+}
+
+// exitOf returns the code that tells err.
+func exitOf(err error) Exit {
+	var coded *exitError
+	var faults *config.FaultsError
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &coded):
+		return coded.exit
+	case errors.As(err, &faults):
+		return ExitFaults
+	case errors.Is(err, hbs.ErrConflict):
+		return ExitConflict
+	case errors.Is(err, hbs.ErrNotFound):
+		return ExitNotFound
+	case errors.Is(err, hbs.ErrUncertain):
+		return ExitUncertain
+	case errors.Is(err, hbs.ErrNotApplied):
+		return ExitPlatform
+	}
+	return ExitFailed
+}
+
+func exitHelp() string {
+	var b strings.Builder
+	b.WriteString("Exit codes:\n")
+	for _, e := range Exits {
+		fmt.Fprintf(&b, "  %2d  %s\n", e.Exit, e.Text)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/entry/exchange.go
@@ -0,0 +1,181 @@
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/julienschmidt/httprouter"
+	"go.uber.org/zap"
+
+	hbs "github.com/hornbeamstage/hornbeamstage"
+	"github.com/hornbeamstage/hornbeamstage/burn"
+	"github.com/hornbeamstage/hornbeamstage/caller"
+)
+
+// exchange is one request of a caller and its answer.
+type exchange struct {
+	h      *Handler
+	r      *http.Request
+	params httprouter.Params
+	w      *responseSink
+	// sink is what the answer is written to; it wraps w.
+	sink *timingSink
+	req  hbs.Request
+}
+
+// decoder fills in x.req from the caller's request. Its error is a *Refusal.
+type decoder func(x *exchange) error
+
+// exchange returns a handler that decodes with decode and serves the request.
+func (h *Handler) exchange(decode decoder) httprouter.Handle {
+	return func(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
+		x := h.newExchange(w, r, params)
+		outcome, err := x.serve(decode)
+		x.finish(outcome, err)
+		if err != nil && x.w.began && !x.endsInEvent() {
+			// Only a broken connection tells the caller that the answer is cut.
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+// endsInEvent reports whether the dispatcher ends a broken answer with an
+// error event of its own.
+func (x *exchange) endsInEvent() bool { return x.req.Model != "" && x.req.Stream }
+
+func (h *Handler) newExchange(w http.ResponseWriter, r *http.Request, params httprouter.Params) *exchange {
+	now := time.Now()
+	out := newResponseSink(w, h.WriteWait)
+	x := &exchange{h: h, r: r, params: params, w: out}
+	x.sink = &timingSink{Sink: out, arrived: now}
+	x.req.ID = hbs.RequestID(rand.Text())
+	x.req.Arrived = now
+	w.Header().Set(caller.HeaderRequestID, string(x.req.ID))
+	return x
+}
+
+// serve runs the exchange up to its outcome. The error is nil only when the
+// request was answered.
+func (x *exchange) serve(decode decoder) (hbs.Outcome, error) {
+	if err := x.authenticate(); err != nil {
+		return hbs.OutcomeNotRun, err
+	}
+	if err := x.readBody(); err != nil {
+		return hbs.OutcomeNotRun, err
+	}
+	if err := x.readTerms(); err != nil {
+		return hbs.OutcomeNotRun, err
+	}
+	if err := decode(x); err != nil {
+		return hbs.OutcomeNotRun, err
+	}
+	release, err := x.h.Limiter.Acquire(&x.req)
+	if err != nil {
+		return hbs.OutcomeNotRun, err
+	}
+	defer func() { release(x.sink.writes) }()
+	if x.req.Class == hbs.ClassOnce && x.req.IdempotencyKey != "" {
+		return x.serveOnce()
+	}
+	return x.dispatch(x.r.Context(), nil, x.sink)
+}
+
+// dispatch hands the request to the dispatcher. Its refusal says what became
+// of the request, so that its outcome goes before the other one.
+func (x *exchange) dispatch(ctx context.Context, gate hbs.Gate, sink hbs.Sink) (hbs.Outcome, error) {
+	outcome, err := x.h.Dispatcher.Serve(ctx, &x.req, gate, sink)
+	if err != nil {
+		return asRefusal(err).Outcome, err
+	}
+	return outcome, nil
+}
+
+func (x *exchange) authenticate() (err error) {
+	x.req.Workspace, err = x.h.authenticate(x.r)
+	return err
+}
+
+func (x *exchange) readBody() error {
+	if err := x.w.c.SetReadDeadline(time.Now().Add(x.h.BodyWait)); err != nil {
+		return badRequest(errors.Wrap(err, "set read deadline"))
+	}
+	body := http.MaxBytesReader(nil, x.r.Body, x.h.MaxBodyBytes)
+	data, err := io.ReadAll(body)
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return hbs.NotRun(hbs.ReasonTooLarge, fmt.Sprintf("more than %d bytes", tooLarge.Limit), 0)
+	}
+	if err != nil {
+		return badRequest(errors.Wrap(err, "read body"))
+	}
+	x.req.Body = data
+	// The server watches for the caller's leaving only without a deadline.
+	return x.w.c.SetReadDeadline(time.Time{})
+}
+
+func (x *exchange) readTerms() error {
+	terms, err := caller.DecodeTerms(x.r.Header)
+	if err != nil {
+		return badRequest(err)
+	}
+	x.req.IdempotencyKey = terms.IdempotencyKey
+	x.req.Priority = terms.Priority
+	x.req.Method = x.r.Method
+	x.req.Header = caller.ForwardedHeader(x.r.Header)
+	if terms.Deadline > 0 {
+		x.req.Deadline = x.req.Arrived.Add(terms.Deadline)
+	}
+	return nil
+}
+
+// setDefaultDeadline applies the configured deadline once the scope is known.
+func (x *exchange) setDefaultDeadline() {
+	if x.req.Deadline.IsZero() {
+		d := x.h.Config.Duration(KnobDefaultDeadline, x.scope())
+		x.req.Deadline = x.req.Arrived.Add(d)
+	}
+}
+
+func (x *exchange) scope() hbs.Scope {
+	return hbs.Scope{Workspace: x.req.Workspace, Model: x.req.Model, Service: x.req.Service}
+}
+
+// finish tells the caller of a refusal, and the burn tracker of the outcome.
+func (x *exchange) finish(outcome hbs.Outcome, err error) {
+	sample := burn.Sample{
+		Workspace:  x.req.Workspace,
+		Model:      x.req.Model,
+		Outcome:    outcome,
+		FirstToken: x.sink.firstToken(),
+		InterToken: x.sink.interToken(),
+		Began:      x.sink.began,
+	}
+	x.h.count(MeterRequests)
+	if err != nil {
+		sample.Reason = x.refuse(asRefusal(err))
+	}
+	x.h.count(meterOutcomePrefix + string(outcome))
+	if x.req.Model != "" {
+		x.h.Tracker.Observe(sample)
+	}
+}
+
+func (x *exchange) refuse(r *hbs.Refusal) hbs.Reason {
+	x.h.count(meterReasonPrefix + string(r.Reason))
+	if r.Reason == hbs.ReasonInternal {
+		x.h.Log.Error("request failed", zap.String("request", string(x.req.ID)), zap.Error(r))
+	}
+	if !x.w.began {
+		caller.WriteRefusal(x.w.w, r)
+	}
+	return r.Reason
+}
+
+func badRequest(err error) *hbs.Refusal {
+	return hbs.NotRun(hbs.ReasonBadRequest, err.Error(), 0)
+}
--- /dev/null
+++ b/entry/handler.go
@@ -0,0 +1,120 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/julienschmidt/httprouter"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	hbs "github.com/hornbeamstage/hornbeamstage"
+	"github.com/hornbeamstage/hornbeamstage/burn"
+	"github.com/hornbeamstage/hornbeamstage/caller"
+	"github.com/hornbeamstage/hornbeamstage/claim"
+	"github.com/hornbeamstage/hornbeamstage/config"
+	"github.com/hornbeamstage/hornbeamstage/dispatch"
+	"github.com/hornbeamstage/hornbeamstage/prompt"
+)
+
+// Handler serves callers. All fields are set before Routes is called.
+type Handler struct {
+	Config     *config.Store
+	Directory  hbs.Directory
+	Limiter    hbs.Limiter
+	Claims     *claim.Store
+	Dispatcher *dispatch.Dispatcher
+	Tracker    *burn.Tracker
+	Cutter     prompt.Cutter
+	// MaxBodyBytes bounds a request's body; positive.
+	MaxBodyBytes int64
+	// BodyWait bounds the time to read a body, WriteWait that of one write.
+	BodyWait, WriteWait time.Duration
+	Metrics             metrics.Registry
+	Log                 *zap.Logger
+}
+
+// Routes returns the handler of all callers' paths.
+func (h *Handler) Routes() http.Handler {
+	m := httprouter.New()
+	m.HandleMethodNotAllowed = true
+	m.POST("/v1/chat/completions", h.exchange(modelExchange))
+	m.POST("/v1/completions", h.exchange(modelExchange))
+	m.GET("/v1/models", h.models)
+	for _, method := range serviceMethods {
+		m.Handle(method, "/services/:name/*path", h.exchange(serviceExchange))
+	}
+	m.PanicHandler = h.panicked
+	return m
+}
+
+var serviceMethods = []string{
+	http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut,
+	http.MethodPatch, http.MethodDelete, http.MethodOptions,
+}
+
+// panicked answers after a panic, which is always a fault of the router.
+func (h *Handler) panicked(w http.ResponseWriter, _ *http.Request, cause any) {
+	if cause == http.ErrAbortHandler {
+		panic(cause)
+	}
+	h.count(MeterPanics)
+	h.Log.Error("request handler panicked", zap.Any("cause", cause), zap.Stack("stack"))
+	r := &hbs.Refusal{Outcome: hbs.OutcomeUnknown, Reason: hbs.ReasonInternal}
+	caller.WriteRefusal(w, r)
+}
+
+// authenticate returns the workspace of the request's bearer key.
+func (h *Handler) authenticate(r *http.Request) (hbs.WorkspaceID, error) {
+	if !h.configured(r.Context()) {
+		return "", hbs.NotRun(hbs.ReasonStarting, "", startWait)
+	}
+	workspace, ok := h.Config.Workspace(caller.BearerKey(r.Header))
+	if !ok {
+		return "", hbs.NotRun(hbs.ReasonUnauthorized, "", 0)
+	}
+	return workspace, nil
+}
+
+// startWait is how long a request waits for the first configuration of an
+// instance that has just started.
+const startWait = time.Second
+
+// configured waits until there is a configuration. Without one every key would
+// look unknown.
+func (h *Handler) configured(ctx context.Context) bool {
+	timer := time.NewTimer(startWait)
+	defer timer.Stop()
+	for {
+		changed := h.Config.Changed()
+		if len(h.Config.Config().Workspaces) > 0 {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return false
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+func (h *Handler) count(name string) {
+	metrics.GetOrRegisterCounter(name, h.Metrics).Inc(1)
+}
+
+// CountHeaderTimeout counts a connection that the server gave up because no
+// whole header came.
+func (h *Handler) CountHeaderTimeout() { h.count(meterReasonPrefix + string(hbs.ReasonHeaderTimeout)) }
+
+// asRefusal returns the refusal in err's chain, or one for an internal error.
+func asRefusal(err error) *hbs.Refusal {
+	var r *hbs.Refusal
+	if errors.As(err, &r) {
+		return r
+	}
+	return &hbs.Refusal{Outcome: hbs.OutcomeUnknown, Reason: hbs.ReasonInternal, Detail: err.Error()}
+}
--- /dev/null
+++ b/entry/tables.go
@@ -0,0 +1,48 @@
+package entry
+
+import hbs "github.com/hornbeamstage/hornbeamstage"
+
+// The knobs of this package.
+const (
+	KnobDefaultDeadline hbs.KnobKey = "entry.default_deadline"
+	KnobExpectedTokens  hbs.KnobKey = "entry.expected_tokens"
+)
+
+// Knobs documents the configurable values of this package.
+var Knobs = []hbs.Knob{
+	{Key: KnobDefaultDeadline, Title: "Deadline of requests that state none", Text: "Lower it for workspaces whose callers give up earlier without saying so.",
+		Unit: hbs.UnitDuration, Default: 600, Min: 0.1, Max: 86400},
+	{Key: KnobExpectedTokens, Title: "Answer length of requests without max_tokens", Text: "Set it near a model's usual answer, so that short and long work are told apart.",
+		Unit: hbs.UnitTokens, Default: 256, Min: 1, Max: 1e6},
+}
+
+// The metrics of this package.
+const (
+	MeterRequests      = "entry_requests"
+	MeterPanics        = "entry_panics"
+	MeterReplays       = "entry_replays"
+	MeterUnsettled     = "entry_unsettled_claims"
+	meterOutcomePrefix = "entry_outcome_"
+	meterReasonPrefix  = "entry_reason_"
+)
+
+// Meters documents the metrics of this package.
+var Meters = append([]hbs.Meter{
+	{Name: MeterRequests, Kind: hbs.MeterCounter, Unit: hbs.UnitCount, Title: "Requests of callers", Action: "None; compare instances to see whether the balancer spreads evenly."},
+	{Name: MeterPanics, Kind: hbs.MeterCounter, Unit: hbs.UnitCount, Title: "Requests whose handler panicked", Action: "Report the logged stack; the request's outcome was told as unknown."},
+	{Name: MeterReplays, Kind: hbs.MeterCounter, Unit: hbs.UnitCount, Title: "Answers given from the record of an earlier run", Action: "None; callers retried with their key."},
+	{Name: MeterUnsettled, Kind: hbs.MeterCounter, Unit: hbs.UnitCount, Title: "Claims whose outcome could not be recorded at once", Action: "Look at the platform; callers' retries get claim_open until the claim is settled."},
+}, outcomeMeters()...)
+
+func outcomeMeters() []hbs.Meter {
+	var meters []hbs.Meter
+	for _, o := range []hbs.Outcome{hbs.OutcomeAnswered, hbs.OutcomeNotRun, hbs.OutcomeUnknown, hbs.OutcomeFailed} {
+		meters = append(meters, hbs.Meter{Name: meterOutcomePrefix + string(o), Kind: hbs.MeterCounter, Unit: hbs.UnitCount,
+			Title: "Requests with the outcome " + string(o), Action: "Look at the entry_reason counters."})
+	}
+	for _, info := range hbs.Reasons {
+		meters = append(meters, hbs.Meter{Name: meterReasonPrefix + string(info.Reason), Kind: hbs.MeterCounter, Unit: hbs.UnitCount,
+			Title: "Requests refused or failed: " + info.Title, Action: info.Text})
+	}
+	return meters
+}
--- /dev/null
+++ b/limit/limit_test.go
@@ -0,0 +1,252 @@
+package limit_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+
+	hbs "github.com/hornbeamstage/hornbeamstage"
+	"github.com/hornbeamstage/hornbeamstage/knob"
+	"github.com/hornbeamstage/hornbeamstage/limit"
+)
+
+var suiteT *testing.T
+
+func TestLimit(t *testing.T) {
+	suiteT = t
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "limit")
+}
+
+const (
+	instances = 7
+	step      = 10 * time.Millisecond
+	// exchange is the time between two digests of an instance.
+	exchange = 250 * time.Millisecond
+)
+
+// fleet is seven limiters in virtual time that exchange digests by hand.
+type fleet struct {
+	Gomega
+	roster   *hbs.Roster
+	limiters []*limit.Limiter
+	// group tells who hears whom: those of equal number.
+	group  [instances]int
+	rng    *rand.Rand
+	ticks  int
+	ending []ending
+}
+
+// ending is a running request.
+type ending struct {
+	at      time.Time
+	release func(int)
+}
+
+func inFleet(bounds limit.Bounds, test func(f *fleet)) {
+	synctest.Test(suiteT, func(t *testing.T) {
+		f := &fleet{Gomega: NewWithT(t), roster: &hbs.Roster{}, rng: rand.New(rand.NewPCG(1, 2))}
+		for i := range instances {
+			id := hbs.InstanceID(fmt.Sprint("i", i))
+			f.roster.Instances = append(f.roster.Instances, hbs.Instance{ID: id})
+			f.limiters = append(f.limiters, &limit.Limiter{
+				Self: id, Chosen: func() bool { return false }, Directory: f, Policy: knob.NewFixed(limit.Knobs), Metrics: metrics.NewRegistry(),
+				Bounds: func(hbs.WorkspaceID) limit.Bounds { return bounds },
+			})
+		}
+		test(f)
+	})
+}
+
+func (f *fleet) Roster() *hbs.Roster { return f.roster }
+
+func (f *fleet) Changed() <-chan struct{} { return nil }
+
+// run sends arrivals of perSecond[i] to instance i for d, each running for
+// work, and returns how many were admitted and the most that ran at once.
+func (f *fleet) run(d, work time.Duration, perSecond ...float64) (admitted, most int) {
+	req := &hbs.Request{Workspace: "ws"}
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(step) {
+		f.end()
+		for i, r := range perSecond {
+			for range f.poisson(r * step.Seconds()) {
+				release, err := f.limiters[i].Acquire(req)
+				if err != nil {
+					continue
+				}
+				admitted++
+				f.ending = append(f.ending, ending{time.Now().Add(work), release})
+			}
+		}
+		most = max(most, len(f.ending))
+		f.exchange()
+	}
+	return admitted, most
+}
+
+func (f *fleet) end() {
+	kept := f.ending[:0]
+	for _, e := range f.ending {
+		if time.Now().Before(e.at) {
+			kept = append(kept, e)
+			continue
+		}
+		e.release(1)
+	}
+	f.ending = kept
+}
+
+func (f *fleet) poisson(mean float64) (n int) {
+	for t := f.rng.ExpFloat64(); t < mean; t += f.rng.ExpFloat64() {
+		n++
+	}
+	return n
+}
+
+// exchange lets each instance in turn send its digest.
+func (f *fleet) exchange() {
+	f.ticks++
+	period := int(exchange / step)
+	for i, from := range f.limiters[:len(f.roster.Instances)] {
+		if f.ticks%period != i*period/instances {
+			continue
+		}
+		data := from.Sections()[0].Digest(100)
+		for j, to := range f.limiters {
+			if i != j && f.group[i] == f.group[j] {
+				f.Expect(to.Sections()[0].Absorb(f.roster.Instances[i], data)).To(Succeed())
+			}
+		}
+	}
+}
+
+func even(total float64) []float64 {
+	rates := make([]float64, instances)
+	for i := range rates {
+		rates[i] = total / instances
+	}
+	return rates
+}
+
+const limitRate = 70.0
+
+// holds expects the admitted rate over d within 10% of the limit.
+func (f *fleet) holds(admitted int, d time.Duration) {
+	f.Expect(float64(admitted) / d.Seconds()).To(BeNumerically("~", limitRate, limitRate*0.1))
+}
+
+var _ = Describe("a rate", func() {
+	bounds := limit.Bounds{RequestsPerSecond: limitRate}
+
+	DescribeTable("holds within 10% (rules 1 to 3)", func(rates []float64) {
+		inFleet(bounds, func(f *fleet) {
+			f.run(5*time.Second, 0, rates...)
+			n, _ := f.run(20*time.Second, 0, rates...)
+			f.holds(n, 20*time.Second)
+		})
+	},
+		Entry("with balanced entry", even(140)),
+		Entry("with all entry at one instance", []float64{140}),
+		Entry("with most entry at one instance", []float64{100, 5, 5, 5, 5, 5, 5}),
+		Entry("with far too much", even(1400)),
+	)
+
+	DescribeTable("is used when it is small and the demand not far above (rule 7)", func(perSecond float64) {
+		inFleet(limit.Bounds{RequestsPerSecond: perSecond}, func(f *fleet) {
+			f.run(5*time.Second, 0, even(1.5*perSecond)...)
+			n, _ := f.run(100*time.Second, 0, even(1.5*perSecond)...)
+			f.Expect(float64(n) / 100).To(BeNumerically("~", perSecond, perSecond*0.1))
+		})
+	},
+		Entry("8", 8.0),
+		Entry("20", 20.0),
+	)
+
+	It("refuses little below the limit when entry is lopsided (rule 2)", func() {
+		inFleet(bounds, func(f *fleet) {
+			f.run(5*time.Second, 0, 50)
+			n, _ := f.run(20*time.Second, 0, 50)
+			f.Expect(n).To(BeNumerically(">=", 950))
+		})
+	})
+
+	It("holds again within seconds when entry moves", func() {
+		inFleet(bounds, func(f *fleet) {
+			f.run(10*time.Second, 0, 140)
+			moved := []float64{0, 0, 0, 0, 0, 0, 140}
+			f.run(4*time.Second, 0, moved...)
+			n, _ := f.run(10*time.Second, 0, moved...)
+			f.holds(n, 10*time.Second)
+		})
+	})
+
+	It("is not passed while instances are cut off, wherever the entry goes, and recovers (rule 4)", func() {
+		inFleet(bounds, func(f *fleet) {
+			f.run(10*time.Second, 0, even(140)...)
+			f.group = [instances]int{0, 0, 0, 1, 1, 2, 3}
+			cut := []float64{300, 0, 0, 300, 0, 300, 300}
+			n, _ := f.run(20*time.Second, 0, cut...)
+			f.Expect(float64(n) / 20).To(BeNumerically("<=", limitRate*1.1))
+			f.Expect(float64(n)/20).To(BeNumerically(">=", limitRate*4/7*0.9), "each goes on with its share")
+			f.group = [instances]int{}
+			f.run(4*time.Second, 0, cut...)
+			n, _ = f.run(20*time.Second, 0, cut...)
+			f.holds(n, 20*time.Second)
+		})
+	})
+
+	It("is taken over from instances that left the roster (rule 5)", func() {
+		inFleet(bounds, func(f *fleet) {
+			f.run(10*time.Second, 0, even(140)...)
+			f.roster = &hbs.Roster{Instances: f.roster.Instances[:4]}
+			rates := []float64{35, 35, 35, 35}
+			f.run(2*time.Second, 0, rates...)
+			n, _ := f.run(20*time.Second, 0, rates...)
+			f.holds(n, 20*time.Second)
+		})
+	})
+})
+
+var _ = Describe("concurrency", func() {
+	DescribeTable("is not passed by more than 10% and is used (rule 6)", func(before, after []float64) {
+		inFleet(limit.Bounds{Concurrency: 40}, func(f *fleet) {
+			f.run(10*time.Second, time.Second, before...)
+			_, most := f.run(5*time.Second, time.Second, after...)
+			f.Expect(most).To(BeNumerically("<=", 44))
+			n, most := f.run(20*time.Second, time.Second, after...)
+			f.Expect(most).To(BeNumerically("<=", 44))
+			f.Expect(float64(n) / 20).To(BeNumerically(">=", 36))
+		})
+	},
+		Entry("with balanced entry", even(100), even(100)),
+		Entry("with all entry at one instance", []float64{100}, []float64{100}),
+		Entry("when entry moves", []float64{100}, []float64{0, 0, 0, 100}),
+	)
+
+	DescribeTable("is not passed by more than 10% over a long time, also when small (rule 1)", func(most int) {
+		inFleet(limit.Bounds{Concurrency: most}, func(f *fleet) {
+			_, ran := f.run(100*time.Second, time.Second, even(3*float64(most))...)
+			f.Expect(ran).To(BeNumerically("<=", float64(most)*1.1))
+		})
+	},
+		Entry("5", 5),
+		Entry("10", 10),
+		Entry("20", 20),
+		Entry("40", 40),
+	)
+})
+
+var _ = DescribeTable("Absorb refuses", func(data string) {
+	l := &limit.Limiter{}
+	Expect(l.Sections()[0].Absorb(hbs.Instance{ID: "i"}, []byte(data))).NotTo(Succeed())
+},
+	Entry("no CBOR", "\xff"),
+	Entry("a claim without a workspace", "\x81\x84\x60\x01\x01\x01"),
+	Entry("a negative demand", "\x81\x84\x61a\x20\x01\x01"),
+)
--- /dev/null
+++ b/load/load_test.go
@@ -0,0 +1,108 @@
+package load_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hornbeamstage/hornbeamstage/load"
+)
+
+var suiteT *testing.T
+
+func TestLoad(t *testing.T) {
+	suiteT = t
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "load")
+}
+
+var start = time.Unix(1_000_000, 0)
+
+func at(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+var _ = Describe("Ledger", func() {
+	const rate = 1000
+
+	It("takes a prefill as worked off while time passes, never more than it is", func() {
+		var l load.Ledger
+		l.Start(&load.Booking{Started: at(0), Prefill: 1000})
+		l.Start(&load.Booking{Started: at(0), Prefill: 500})
+		Expect(l.Total(at(0.4), rate).Prefill).To(BeNumerically("~", 1100, 1))
+		Expect(l.Total(at(9), rate).Prefill).To(BeNumerically("~", 500, 1))
+	})
+
+	It("does not count its own work twice when a late report tells of it", func() {
+		var l load.Ledger
+		b := &load.Booking{Started: at(0), Prefill: 1000}
+		l.Start(b)
+		l.Report(load.Count{Running: 1, Prefill: 1000}, at(0.5))
+		Expect(l.Total(at(0.5), 0).Running).To(Equal(1.0))
+		l.Report(load.Count{Running: 4, Prefill: 1000}, at(0.6))
+		Expect(l.Total(at(0.6), 0).Running).To(Equal(4.0))
+	})
+
+	It("does not take work from a report that began after it", func() {
+		var l load.Ledger
+		l.Start(&load.Booking{Started: at(1), Prefill: 1000})
+		l.Report(load.Count{Running: 2}, at(0.5))
+		Expect(l.Total(at(0.5), 0).Running).To(Equal(3.0))
+	})
+
+	It("ignores a report that is older than the last", func() {
+		var l load.Ledger
+		l.Report(load.Count{Running: 2}, at(1))
+		l.Report(load.Count{Running: 9}, at(0.5))
+		Expect(l.Total(at(1), 0).Running).To(Equal(2.0))
+	})
+
+	It("replaces a peer's word and forgets a silent peer", func() {
+		var l load.Ledger
+		l.Peer(7, load.Count{Running: 5}, at(0))
+		l.Peer(7, load.Count{Running: 3}, at(1))
+		l.Peer(8, load.Count{Running: 1}, at(1))
+		Expect(l.Total(at(1), 0).Running).To(Equal(4.0))
+		l.Tidy(at(60))
+		Expect(l.Total(at(60), 0).Running).To(BeZero())
+	})
+
+	It("counts favoured work by the own part, for all instances that are heard", func() {
+		l := &load.Ledger{}
+		now := time.Now()
+		first, other := &load.Booking{Prefill: 100, Favoured: true}, &load.Booking{Prefill: 900}
+		l.Start(first)
+		l.Start(other)
+		l.Peer(1, load.Count{Running: 5, Prefill: 5000}, now)
+		expect := func(prefill, running float64) {
+			p, r := l.Favoured()
+			Expect([]float64{p, r}).To(Equal([]float64{prefill, running}))
+		}
+		expect(200, 2)
+		l.Prefilled(first, now)
+		expect(0, 2)
+		l.Finish(first, now)
+		l.Finish(other, now)
+		expect(0, 0)
+	})
+
+	It("is empty after all have finished", func() {
+		var l load.Ledger
+		a, b := &load.Booking{Started: at(0), Prefill: 10}, &load.Booking{Started: at(0), Prefill: 20}
+		l.Start(a)
+		l.Start(b)
+		l.Prefilled(a, at(1))
+		l.Finish(a, at(2))
+		l.Finish(b, at(2))
+		Expect(l.Own()).To(Equal(load.Count{}))
+	})
+})
+
+var _ = Describe("Report", func() {
+	It("is refused with negative values", func() {
+		Expect((&load.Report{Running: -1}).Validate()).To(HaveOccurred())
+		Expect((&load.Report{Running: 1}).Validate()).To(Succeed())
+	})
+})
--- /dev/null
+++ b/network/network.go
@@ -0,0 +1,51 @@
+// Package network makes TCP connections and HTTP transports over a
+// hornbeamstage.Network.
+package network
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	hbs "github.com/hornbeamstage/hornbeamstage"
+)
+
+// DialTimeout bounds one connection attempt.
+const DialTimeout = time.Second
+
+// TCP is the operating system's network.
+type TCP struct{}
+
+// Listen implements hornbeamstage.Network.
+func (TCP) Listen(addr netip.AddrPort) (l net.Listener, err error) {
+	defer func() { err = errors.Wrapf(err, "listen on %s", addr) }()
+	return net.ListenTCP("tcp", net.TCPAddrFromAddrPort(addr))
+}
+
+// Dial implements hornbeamstage.Network.
+func (TCP) Dial(ctx context.Context, addr netip.AddrPort) (conn net.Conn, err error) {
+	defer func() { err = errors.Wrapf(err, "dial %s", addr) }()
+	d := net.Dialer{Timeout: DialTimeout}
+	return d.DialContext(ctx, "tcp", addr.String())
+}
+
+// Transport returns a transport whose connections come from n. It keeps
+// connections alive and adds no compression.
+func Transport(n hbs.Network) *http.Transport {
+	return &http.Transport{
+		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
+			ap, err := netip.ParseAddrPort(addr)
+			if err != nil {
+				return nil, errors.Wrapf(err, "address %q", addr)
+			}
+			return n.Dial(ctx, ap)
+		},
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: 64,
+		IdleConnTimeout:     30 * time.Second,
+	}
+}
--- /dev/null
+++ b/order/order_test.go
@@ -0,0 +1,225 @@
+package order_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sourcegraph/conc"
+
+	hbs "github.com/hornbeamstage/hornbeamstage"
+	"github.com/hornbeamstage/hornbeamstage/knob"
+	"github.com/hornbeamstage/hornbeamstage/lease"
+	"github.com/hornbeamstage/hornbeamstage/order"
+	"github.com/hornbeamstage/hornbeamstage/standin/engine"
+	"github.com/hornbeamstage/hornbeamstage/standin/memnet"
+	"github.com/hornbeamstage/hornbeamstage/standin/objects"
+)
+
+var suiteT *testing.T
+
+func TestOrder(t *testing.T) {
+	suiteT = t
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "order")
+}
+
+type directory struct{ roster hbs.Roster }
+
+func (d *directory) Roster() *hbs.Roster      { return &d.roster }
+func (d *directory) Changed() <-chan struct{} { return nil }
+
+// pausingNetwork stops the process before or after the dial, once.
+type pausingNetwork struct {
+	hbs.Network
+	beforeWrite, inWrite time.Duration
+	armed                atomic.Bool
+}
+
+// Dial implements hornbeamstage.Network.
+func (n *pausingNetwork) Dial(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+	conn, err := n.Network.Dial(ctx, addr)
+	if err != nil || !n.armed.CompareAndSwap(true, false) {
+		return conn, err
+	}
+	time.Sleep(n.beforeWrite)
+	return &pausingConn{conn, n.inWrite}, nil
+}
+
+// pausingConn stops the process between the check of the lease and the write.
+type pausingConn struct {
+	net.Conn
+	d time.Duration
+}
+
+// Write implements net.Conn.
+func (c *pausingConn) Write(p []byte) (int, error) {
+	time.Sleep(c.d)
+	return c.Conn.Write(p)
+}
+
+// Close implements net.Conn. A paused process closes nothing until it wakes.
+func (c *pausingConn) Close() error {
+	time.AfterFunc(c.d+time.Millisecond, func() { _ = c.Conn.Close() })
+	return nil
+}
+
+// world is two instances, one of them holding the lease, before one engine.
+type world struct {
+	Gomega
+	ctx      context.Context
+	shared   *objects.Store
+	dir      *directory
+	fabric   *memnet.Fabric
+	engine   *engine.Engine
+	endpoint hbs.Endpoint
+	clients  []*objects.Client
+	wg       conc.WaitGroup
+}
+
+func inWorld(c hbs.Capabilities, test func(w *world)) {
+	synctest.Test(suiteT, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		w := &world{Gomega: NewWithT(t), ctx: ctx, shared: &objects.Store{}, dir: &directory{}, fabric: &memnet.Fabric{}}
+		w.engine = &engine.Engine{
+			ID: "e", Address: netip.MustParseAddrPort("10.0.0.9:80"), Network: w.fabric.Network("a"), Model: "m", Initial: "v1",
+			Capabilities: c, Weights: &engine.WeightStore{LoadTime: 2 * time.Second, Free: 2}, Shape: engine.Shape{Slots: 1},
+		}
+		w.endpoint = w.engine.Record("a", "r")
+		w.wg.Go(func() { _ = w.engine.Run(ctx) })
+		test(w)
+		cancel()
+		time.Sleep(2 * time.Minute) // paused processes wake and see it
+		w.wg.Wait()
+	})
+}
+
+// instance starts an instance whose giver uses n.
+func (w *world) instance(id hbs.InstanceID, n hbs.Network) *order.Giver {
+	self := hbs.Instance{ID: id, Domain: "a", State: hbs.InstanceLive}
+	w.dir.roster.Instances = append(w.dir.roster.Instances, self)
+	policy := knob.NewFixed(lease.Knobs, order.Knobs)
+	client := &objects.Client{Store: w.shared}
+	k := &lease.Keeper{Platform: client, Self: self, Directory: w.dir, Policy: policy, Metrics: metrics.NewRegistry()}
+	w.clients = append(w.clients, client)
+	w.wg.Go(func() { _ = k.Run(w.ctx) })
+	return &order.Giver{Lease: k, Network: n, Policy: policy, Metrics: metrics.NewRegistry()}
+}
+
+// await waits until g holds the lease.
+func (w *world) await(g *order.Giver) {
+	for _, ok := g.Lease.Fence(); !ok; _, ok = g.Lease.Fence() {
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// ensure wants v2 within a minute.
+func (w *world) ensure(g *order.Giver) error {
+	ctx, cancel := context.WithTimeout(w.ctx, time.Minute)
+	defer cancel()
+	return g.Ensure(ctx, &w.endpoint, order.Order{Kind: order.KindLoadWeights, Weights: "v2"}, func() error { return nil })
+}
+
+func load(v hbs.WeightsVersion) order.Order {
+	return order.Order{Kind: order.KindLoadWeights, Weights: v}
+}
+
+var _ = Describe("Giver", func() {
+	It("brings an engine to the wanted weights and leaves it alone then (O5, O6)", func() {
+		inWorld(hbs.Capabilities{ChecksFence: true}, func(w *world) {
+			g := w.instance("r0", w.fabric.Network("a"))
+			w.await(g)
+			w.Expect(w.ensure(g)).To(Succeed())
+			w.Expect(w.ensure(g)).To(Succeed())
+			w.Expect(w.engine.Orders()).To(HaveLen(1))
+		})
+	})
+
+	It("orders again when the engine crashes while it loads (O6)", func() {
+		inWorld(hbs.Capabilities{}, func(w *world) {
+			g := w.instance("r0", w.fabric.Network("a"))
+			w.await(g)
+			w.wg.Go(func() {
+				time.Sleep(time.Second)
+				w.Expect(w.engine.Orders()).To(HaveLen(1))
+				w.engine.Crash(500 * time.Millisecond)
+			})
+			w.Expect(w.ensure(g)).To(Succeed())
+			w.Expect(len(w.engine.Orders())).To(BeNumerically(">", 1))
+		})
+	})
+
+	It("writes nothing when it wakes after its lease ran out (O2)", func() {
+		inWorld(hbs.Capabilities{}, func(w *world) {
+			n := &pausingNetwork{Network: w.fabric.Network("a"), beforeWrite: 15 * time.Second}
+			g := w.instance("r0", n)
+			g.Policy = knob.NewFixed(lease.Knobs, order.Knobs).With(lease.KnobOrderLifetime, 30)
+			w.await(g)
+			n.armed.Store(true)
+			w.clients[0].Kill()
+			w.Expect(g.Give(context.Background(), &w.endpoint, load("v0"))).To(MatchError(lease.ErrNotHeld))
+			w.Expect(w.engine.Orders()).To(BeEmpty())
+		})
+	})
+
+	// The first holder is stopped in the middle of an order for v0; the second
+	// orders v2 in the meantime.
+	DescribeTable("a holder wakes in the middle of an order", func(c hbs.Capabilities, taken int) {
+		inWorld(c, func(w *world) {
+			n := &pausingNetwork{Network: w.fabric.Network("a"), inWrite: time.Minute}
+			first := w.instance("r0", n)
+			w.await(first)
+			n.armed.Store(true)
+			w.wg.Go(func() { _ = first.Give(context.Background(), &w.endpoint, load("v0")) })
+			w.clients[0].Kill()
+			second := w.instance("r1", w.fabric.Network("a"))
+			w.await(second)
+			w.Expect(w.ensure(second)).To(Succeed())
+			time.Sleep(2 * time.Minute)
+			w.Expect(w.engine.Orders()).To(HaveLen(taken))
+			w.Expect(w.ensure(second)).To(Succeed())
+		})
+	},
+		Entry("engine that checks the number (O1)", hbs.Capabilities{ChecksFence: true}, 1),
+		Entry("engine that checks the time only (O3)", hbs.Capabilities{}, 1),
+	)
+
+	It("repairs an engine that checks nothing and took a late order (O6)", func() {
+		synctest.Test(suiteT, func(t *testing.T) {
+			g := NewWithT(t)
+			ctx, cancel := context.WithCancel(context.Background())
+			w := &world{Gomega: g, ctx: ctx, shared: &objects.Store{}, dir: &directory{}, fabric: &memnet.Fabric{}}
+			e := &blindEngine{weights: "v1"}
+			addr := netip.MustParseAddrPort("10.0.0.9:80")
+			l, err := w.fabric.Network("a").Listen(addr)
+			g.Expect(err).NotTo(HaveOccurred())
+			srv := &http.Server{Handler: e}
+			w.wg.Go(func() { _ = srv.Serve(l) })
+			w.endpoint = hbs.Endpoint{ID: "e", Domain: "a", Address: addr}
+			n := &pausingNetwork{Network: w.fabric.Network("a"), inWrite: time.Minute}
+			first := w.instance("r0", n)
+			w.await(first)
+			n.armed.Store(true)
+			w.wg.Go(func() { _ = first.Give(context.Background(), &w.endpoint, load("v0")) })
+			w.clients[0].Kill()
+			second := w.instance("r1", w.fabric.Network("a"))
+			w.await(second)
+			g.Expect(w.ensure(second)).To(Succeed())
+			time.Sleep(2 * time.Minute)
+			g.Expect(e.taken()).To(Equal([]hbs.WeightsVersion{"v2", "v0"}), "what remains possible")
+			g.Expect(w.ensure(second)).To(Succeed())
+			g.Expect(e.taken()).To(Equal([]hbs.WeightsVersion{"v2", "v0", "v2"}))
+			cancel()
+			g.Expect(srv.Close()).To(Succeed())
+			w.wg.Wait()
+		})
+	})
+})
--- /dev/null
+++ b/peer/conns.go
@@ -0,0 +1,95 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+)
+
+// connectTimeout bounds one connection attempt; a peer is milliseconds away.
+const connectTimeout = time.Second
+
+// conns keeps one connection for each peer address.
+type conns struct {
+	server *Server
+	// idle is the time after which an unused connection is closed; 0 is never.
+	idle time.Duration
+
+	mu   sync.Mutex
+	open map[netip.AddrPort]*grpc.ClientConn
+}
+
+func (c *conns) get(addr netip.AddrPort) (conn *grpc.ClientConn, err error) {
+	defer func() { err = errors.Wrapf(err, "connect to %s", addr) }()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if conn, ok := c.open[addr]; ok {
+		return conn, nil
+	}
+	conn, err = grpc.NewClient("passthrough:///"+addr.String(), c.options(addr)...)
+	if err != nil {
+		return nil, err
+	}
+	c.open[addr] = conn
+	return conn, nil
+}
+
+func (c *conns) options(addr netip.AddrPort) []grpc.DialOption {
+	creds := insecure.NewCredentials()
+	if c.server.TLS != nil {
+		creds = credentials.NewTLS(c.server.TLS.clientConfig(c.server.expect(addr)))
+	}
+	return []grpc.DialOption{
+		grpc.WithTransportCredentials(creds),
+		grpc.WithContextDialer(func(ctx context.Context, _ string) (net.Conn, error) {
+			ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+			defer cancel()
+			return c.server.Network.Dial(ctx, addr)
+		}),
+		grpc.WithDefaultCallOptions(grpc.ForceCodec(Codec{}), grpc.MaxCallRecvMsgSize(maxMessageBytes)),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: time.Second},
+			MinConnectTimeout: connectTimeout,
+		}),
+		grpc.WithInitialWindowSize(windowBytes),
+		grpc.WithInitialConnWindowSize(windowBytes),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithIdleTimeout(c.idle),
+	}
+}
+
+// drop closes the connection, so that the next use makes a new one.
+func (c *conns) drop(addr netip.AddrPort) {
+	c.mu.Lock()
+	conn := c.open[addr]
+	delete(c.open, addr)
+	c.mu.Unlock()
+	if conn != nil {
+		conn.Close()
+	}
+}
+
+func (c *conns) closeAll() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for addr, conn := range c.open {
+		conn.Close()
+		delete(c.open, addr)
+	}
+}
+
+func (c *conns) call(ctx context.Context, addr netip.AddrPort, method string, q, a any) error {
+	conn, err := c.get(addr)
+	if err != nil {
+		return err
+	}
+	return conn.Invoke(withVersion(ctx, Version), method, q, a)
+}
--- /dev/null
+++ b/peer/fleet_test.go
@@ -0,0 +1,236 @@
+package peer_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	hbs "github.com/hornbeamstage/hornbeamstage"
+	"github.com/hornbeamstage/hornbeamstage/config"
+	"github.com/hornbeamstage/hornbeamstage/knob"
+	"github.com/hornbeamstage/hornbeamstage/membership"
+	"github.com/hornbeamstage/hornbeamstage/mirror"
+	"github.com/hornbeamstage/hornbeamstage/network"
+	"github.com/hornbeamstage/hornbeamstage/peer"
+	"github.com/hornbeamstage/hornbeamstage/platform"
+	"github.com/hornbeamstage/hornbeamstage/standin/host"
+	"github.com/hornbeamstage/hornbeamstage/standin/memnet"
+	standin "github.com/hornbeamstage/hornbeamstage/standin/platform"
+)
+
+// platformDomain is where the stand-in of the platform runs, so that it can be
+// cut off from each domain of instances.
+const platformDomain hbs.DomainName = "platform"
+
+var platformAddress = netip.MustParseAddrPort("10.0.0.1:80")
+
+// node is one instance without its request path.
+type node struct {
+	id        hbs.InstanceID
+	host      *host.Host
+	objects   *mirror.Set
+	config    *config.Store
+	directory *membership.Directory
+	server    *peer.Server
+	metrics   metrics.Registry
+	stop      context.CancelFunc
+}
+
+// fleet runs nodes, the platform and their network in one bubble.
+type fleet struct {
+	g        *WithT
+	ctx      context.Context
+	fabric   *memnet.Fabric
+	platform *standin.Platform
+	nodes    []*node
+	seeds    []netip.AddrPort
+	sections func(*node) []hbs.Section
+	floor    *config.Config
+	// keys returns the keys of the node with a number; nil for plain text.
+	keys func(i int) *peer.TLS
+	// policy has the knobs of all nodes.
+	policy hbs.Policy
+	// regions are those of domains that are not in region r, and part tells
+	// which nodes leave out other regions' endpoints; nil for none. Sets of the
+	// first older nodes know no region, as those of an earlier release.
+	regions map[hbs.DomainName]hbs.RegionName
+	part    func(i int) bool
+	older   int
+	// log takes what the nodes' servers log.
+	log    *zap.Logger
+	wg     conc.WaitGroup
+	cancel context.CancelFunc
+}
+
+func newFleet(g *WithT) *fleet {
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &fleet{g: g, policy: policy(), ctx: ctx, cancel: cancel, fabric: &memnet.Fabric{Delay: time.Millisecond}, log: zap.NewNop()}
+	f.platform = &standin.Platform{Address: platformAddress, Network: f.fabric.Network(platformDomain), ListLag: time.Second, Seed: 1}
+	f.wg.Go(func() { _ = f.platform.Run(ctx) })
+	return f
+}
+
+// close ends all that runs, so that the bubble can end. Cuts are healed first:
+// a connection across one would never learn that its other end closed.
+func (f *fleet) close() {
+	domains := []hbs.DomainName{"a", "b", "c", "d", platformDomain}
+	for i, x := range domains {
+		for _, y := range domains[i+1:] {
+			f.fabric.Heal(x, y)
+		}
+	}
+	f.cancel()
+	f.wg.Wait()
+	// net/http lets a connection attempt run on when its request was given up.
+	time.Sleep(network.DialTimeout)
+}
+
+func peerAddress(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)}), 7000)
+}
+
+// policy has the built-in defaults of all parts in play.
+func policy() *knob.Fixed {
+	return knob.NewFixed(platform.Knobs, mirror.Knobs, peer.Knobs, membership.Knobs)
+}
+
+// start adds a node in domain and runs it.
+func (f *fleet) start(domain hbs.DomainName) *node {
+	i := len(f.nodes)
+	ctx, stop := context.WithCancel(f.ctx)
+	n := &node{
+		id:      hbs.InstanceID(fmt.Sprintf("i-%02d", i)),
+		host:    &host.Host{Network: f.fabric.Network(domain), Classify: purpose},
+		objects: &mirror.Set{},
+		stop:    stop,
+	}
+	if f.part != nil && i >= f.older {
+		n.objects = &mirror.Set{Region: f.region(domain), Part: f.part(i)}
+	}
+	registry := metrics.NewRegistry()
+	n.metrics = registry
+	record := hbs.Instance{ID: n.id, Domain: domain, Region: f.region(domain), State: hbs.InstanceLive,
+		CallerAddress: netip.AddrPortFrom(peerAddress(i).Addr(), 8000), PeerAddress: peerAddress(i),
+		Incarnation: hbs.Incarnation(fmt.Sprintf("%s-%d", n.id, time.Now().UnixNano()))}
+	client := &platform.Client{Address: platformAddress, Network: n.host, Timeout: time.Second,
+		ReadsPerSecond: 50, WritesPerSecond: 40, Policy: f.policy, Metrics: registry}
+	n.config = &config.Store{Objects: n.objects, Knobs: mirror.Knobs, Floor: f.floor, Metrics: registry, Log: zap.NewNop()}
+	n.directory = &membership.Directory{Record: record, Objects: n.objects, Config: n.config, Platform: client,
+		Network: n.host, Policy: f.policy, Metrics: registry, Log: zap.NewNop(), Rand: rand.New(rand.NewPCG(1, uint64(i)))}
+	n.server = &peer.Server{Self: n.directory.Self, Seeds: f.seeds, Objects: n.objects, Network: n.host, Policy: f.policy,
+		Metrics: registry, Log: f.log, AllowPlain: true, Rand: rand.New(rand.NewPCG(2, uint64(i)))}
+	if f.keys != nil {
+		n.server.TLS = f.keys(i)
+	}
+	n.server.Sections = []hbs.Section{membership.Suspicions{Directory: n.directory}}
+	if f.sections != nil {
+		n.server.Sections = append(n.server.Sections, f.sections(n)...)
+	}
+	n.directory.Alive, n.directory.Chosen = n.server.Alive, n.server.Chosen
+	watcher := &mirror.Watcher{Platform: client, Set: n.objects, Policy: f.policy, Metrics: registry, Log: zap.NewNop(),
+		Chosen: n.server.Chosen, Spread: n.server.Spread}
+	for _, run := range []func(context.Context) error{client.Run, n.config.Run, n.directory.Run, n.server.Run, watcher.Run} {
+		f.wg.Go(func() { _ = run(ctx) })
+	}
+	f.nodes = append(f.nodes, n)
+	return n
+}
+
+// region returns the region of domain.
+func (f *fleet) region(domain hbs.DomainName) hbs.RegionName {
+	if r, ok := f.regions[domain]; ok {
+		return r
+	}
+	return "r"
+}
+
+// purpose sorts bytes into those of the platform and those between instances.
+func purpose(addr netip.AddrPort) host.Purpose {
+	if addr == platformAddress {
+		return "platform"
+	}
+	return "peers"
+}
+
+// node returns the node with the id.
+func (f *fleet) node(id hbs.InstanceID) *node {
+	for _, n := range f.nodes {
+		if n.id == id {
+			return n
+		}
+	}
+	return nil
+}
+
+// kill ends n as a crash does.
+func (f *fleet) kill(n *node) {
+	n.host.Kill()
+	n.stop()
+}
+
+// change stores the configuration item number k and returns its revision as
+// the fleet will tell it.
+func (f *fleet) change(k int) hbs.WorkspaceID {
+	id := hbs.WorkspaceID(fmt.Sprintf("w-%d", k))
+	f.g.Expect(f.platform.Put(hbs.ObjectConfiguration, "workspace."+string(id), config.Workspace{ID: id, Weight: 1})).To(Succeed())
+	return id
+}
+
+// inForce reports whether all nodes but those in except have the workspace.
+func (f *fleet) inForce(id hbs.WorkspaceID, except ...*node) bool {
+	for _, n := range f.nodes {
+		if !contains(except, n) && n.config.Config().Workspace(id) == nil {
+			return false
+		}
+	}
+	return true
+}
+
+func contains(ns []*node, n *node) bool {
+	for _, x := range ns {
+		if x == n {
+			return true
+		}
+	}
+	return false
+}
+
+// within returns how long cond takes to hold, and fails after limit.
+func (f *fleet) within(limit time.Duration, what string, cond func() bool) time.Duration {
+	f.g.THelper()
+	began := time.Now()
+	for !cond() {
+		f.g.Expect(time.Since(began)).To(BeNumerically("<=", limit), what)
+		time.Sleep(10 * time.Millisecond)
+	}
+	return time.Since(began)
+}
+
+// domains of today: 7 instances over 4.
+var today = []hbs.DomainName{"a", "a", "b", "b", "c", "c", "d"}
+
+func (f *fleet) startToday() {
+	for i := range today {
+		f.seeds = append(f.seeds, peerAddress(i))
+	}
+	for _, domain := range today {
+		f.start(domain)
+	}
+}
+
+// watchers returns the nodes of domain that watch the platform now.
+func (f *fleet) watchers(domain hbs.DomainName) (ws []*node) {
+	for _, n := range f.nodes {
+		if n.directory.Self().Domain == domain && n.server.Chosen() {
+			ws = append(ws, n)
+		}
+	}
+	return ws
+}
--- /dev/null
+++ b/placement/duties_test.go
@@ -0,0 +1,203 @@
+package placement_test
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sourcegraph/conc"
+
+	hbs "github.com/hornbeamstage/hornbeamstage"
+	"github.com/hornbeamstage/hornbeamstage/placement"
+	"github.com/hornbeamstage/hornbeamstage/standin/memnet"
+)
+
+// answers is what the engines of withDuties say.
+type answers struct {
+	load, events string
+	// incarnation is that of the engines in the roster, "1" when empty.
+	incarnation hbs.Incarnation
+	// before runs before the duties start.
+	before func(f *placement.Fleet)
+}
+
+// withDuties runs body beside the duties of a fleet whose two engines share one
+// server.
+func withDuties(a *answers, body func(g Gomega, f *placement.Fleet)) {
+	synctest.Test(suiteT, func(t *testing.T) {
+		net := (&memnet.Fabric{}).Network("a")
+		l, err := net.Listen(address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		mux := http.NewServeMux()
+		mux.HandleFunc("/load", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, a.load) })
+		mux.HandleFunc("/cache_events", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, a.events) })
+		srv := &http.Server{Handler: mux}
+		d := newDirectory(2)
+		for i := range d.roster.Endpoints {
+			e := &d.roster.Endpoints[i]
+			e.Domain = "a"
+			e.Incarnation = cmp.Or(a.incarnation, e.Incarnation)
+			e.Capabilities = hbs.Capabilities{KVTransfer: true, LoadReports: a.load != "", CacheEvents: a.events != ""}
+		}
+		d.roster.Instances = d.roster.Instances[:1]
+		f := newFleet(d, "a")
+		f.Network = net
+		if a.before != nil {
+			a.before(f)
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		var wg conc.WaitGroup
+		wg.Go(func() { _ = srv.Serve(l) })
+		wg.Go(func() { _ = f.Run(ctx) })
+		body(NewWithT(t), f)
+		cancel()
+		_ = srv.Close()
+		wg.Wait()
+	})
+}
+
+// answer ends p as an engine would that computes 10,000 tokens a second, with so
+// many of 4,000 tokens cached.
+func answer(f *placement.Fleet, p hbs.Placement, cached int) {
+	first := 30*time.Millisecond + time.Duration(4000-cached)*100*time.Microsecond
+	f.FirstToken(&p, first, -1)
+	f.Finish(&p, hbs.AttemptResult{
+		End: hbs.EndComplete, Incarnation: "1", Weights: "w1", CachedTokens: cached, OutputTokens: 20,
+		FirstToken: first, Duration: time.Second,
+	})
+}
+
+var _ = Describe("Fleet with its duties", func() {
+	It("puts a prompt but for its last level into the store once, and counts on it elsewhere", func() {
+		withDuties(&answers{}, func(g Gomega, f *placement.Fleet) {
+			p := mustPlace(g, f, request(1, 2, 3, 4))
+			g.Expect(p.LoadKept).To(BeTrue())
+			g.Expect(p.KeepTokens).To(Equal(3000))
+			f.FirstToken(&p, time.Second, 0)
+			other := mustPlace(g, f, request(1, 2, 3, 4), p.Endpoint.ID)
+			g.Expect(other.KeepTokens).To(BeZero())
+			g.Expect(other.FirstToken).To(BeNumerically("<", p.FirstToken/2))
+			g.Expect(mustPlace(g, f, request(91, 92, 93, 94)).KeepTokens).To(Equal(3000))
+		})
+	})
+
+	It("asks again for a prefix whose attempt got no token", func() {
+		withDuties(&answers{}, func(g Gomega, f *placement.Fleet) {
+			p := mustPlace(g, f, request(1, 2, 3, 4))
+			f.Finish(&p, hbs.AttemptResult{End: hbs.EndBroken, CachedTokens: -1})
+			g.Expect(mustPlace(g, f, request(1, 2, 3, 4)).KeepTokens).To(Equal(3000))
+		})
+	})
+
+	It("has a prefix put into the store again when the store lost it", func() {
+		withDuties(&answers{}, func(g Gomega, f *placement.Fleet) {
+			p := mustPlace(g, f, request(1, 2, 3, 4))
+			complete(f, p, "1", 0)
+			other := mustPlace(g, f, request(1, 2, 3, 4), p.Endpoint.ID)
+			complete(f, other, "1", 0)
+			g.Expect(mustPlace(g, f, request(1, 2, 3, 4)).KeepTokens).To(Equal(3000))
+		})
+	})
+
+	It("counts on the store less and less while it gives nothing, and on it again when it does", func() {
+		withDuties(&answers{}, func(g Gomega, f *placement.Fleet) {
+			// share returns the predicted time to the first token of a kept prompt
+			// against that of a new one.
+			share := func(key hbs.LevelKey, cached int) float64 {
+				fresh := mustPlace(g, f, request(key, key+1, key+2, key+3))
+				answer(f, fresh, 0)
+				kept := mustPlace(g, f, request(key, key+1, key+2, key+3), fresh.Endpoint.ID)
+				answer(f, kept, cached)
+				return kept.FirstToken.Seconds() / fresh.FirstToken.Seconds()
+			}
+			g.Expect(share(1, 0)).To(BeNumerically("<", 0.5))
+			for i := range 100 {
+				share(hbs.LevelKey(100+10*i), 0)
+			}
+			g.Expect(share(10_000, 0)).To(BeNumerically(">", 0.9))
+			for i := range 100 {
+				share(hbs.LevelKey(20_000+10*i), 3000)
+			}
+			g.Expect(share(30_000, 3000)).To(BeNumerically("<", 0.5))
+		})
+	})
+
+	It("forgets what a cleared engine had", func() {
+		a := &answers{events: "id: 0\ndata: {\"incarnation\":\"1\",\"kind\":\"cleared\"}\n\n"}
+		withDuties(a, func(g Gomega, f *placement.Fleet) {
+			synctest.Wait()
+			p := mustPlace(g, f, request(1, 2))
+			complete(f, p, "1", 0)
+			time.Sleep(20 * time.Second)
+			g.Expect(mustPlace(g, f, request(1, 2)).CachedTokens).To(BeZero())
+		})
+	})
+
+	It("ignores events and reports of a dead incarnation (rule 3)", func() {
+		a := &answers{
+			events:      "id: 0\ndata: {\"incarnation\":\"0\",\"kind\":\"stored\",\"tag\":\"0000000000000007\",\"tokens\":1000}\n\n",
+			load:        `{"incarnation":"0","running":900,"waiting":900}`,
+			incarnation: "0",
+			before: func(f *placement.Fleet) {
+				p, _ := f.Place(request(1), []hbs.EndpointID{"engine-001"})
+				complete(f, p, "1", 0)
+			},
+		}
+		withDuties(a, func(g Gomega, f *placement.Fleet) {
+			time.Sleep(5 * time.Second)
+			g.Expect(mustPlace(g, f, request(7), "engine-001").CachedTokens).To(BeZero())
+		})
+	})
+
+	It("waits when reports tell that others fill the engines", func() {
+		a := &answers{load: `{"incarnation":"1","running":900,"waiting":900,"age_seconds":0.1}`}
+		withDuties(a, func(g Gomega, f *placement.Fleet) {
+			time.Sleep(600 * time.Millisecond)
+			_, err := f.Place(request(1), nil)
+			g.Expect(err).To(MatchError(hbs.ErrFull))
+		})
+	})
+})
+
+var _ = Describe("Sections", func() {
+	It("make peers see the load, and change nothing with data that is not understood", func() {
+		bubble(func(g Gomega) {
+			d := newDirectory(1)
+			a, b := newFleet(d, "a"), newFleet(d, "b")
+			for range 8 {
+				mustPlace(g, a, request())
+			}
+			for i, s := range a.Sections() {
+				g.Expect(b.Sections()[i].Absorb(instance("a"), []byte{0xff, 1, 2})).NotTo(Succeed())
+				data := s.Digest(1000)
+				g.Expect(len(data)).To(BeNumerically("<=", 1000))
+				if len(data) > 0 {
+					g.Expect(b.Sections()[i].Absorb(instance("a"), data)).To(Succeed())
+				}
+				g.Expect(s.Digest(8)).To(HaveLen(min(len(s.Digest(8)), 8)))
+			}
+			_, err := b.Place(request(), nil)
+			g.Expect(err).To(MatchError(hbs.ErrFull))
+			time.Sleep(10 * time.Second)
+			b.Sections()
+		})
+	})
+})
+
+func FuzzSections(f *testing.F) {
+	f.Add([]byte{0x81, 0xa2, 1, 2, 2, 3})
+	fleet := newFleet(newDirectory(3), "a")
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		for _, s := range fleet.Sections() {
+			_ = s.Absorb(instance("b"), data)
+		}
+	})
+}
--- /dev/null
+++ b/placement/kept.go
@@ -0,0 +1,127 @@
+package placement
+
+import (
+	"time"
+
+	hbs "github.com/hornbeamstage/hornbeamstage"
+)
+
+// Engines of a deployment share a store of kept KV cache. An engine that may use
+// it loads what it lacks of a prompt when the prompt's turn comes: after a spill
+// or an eviction, when a set grows, when an endpoint comes back empty. So a
+// belief that proves wrong costs a load and not a computation. The router decides
+// which prefixes are put there and counts on the load where it weighs endpoints.
+// Salt and weights are part of what engines look up, so no entry of another
+// workspace or of older weights is found.
+
+const (
+	// keptTTL is how long a prefix counts as kept after it was put there.
+	keptTTL = 5 * time.Minute
+	// maxKept bounds the prefixes known as kept.
+	maxKept = 32768
+	// minKept is the least length of a level that is remembered as kept, in tokens.
+	minKept = 256
+	// importBase is the time of a load beside its tokens, in seconds.
+	importBase = 0.01
+)
+
+// kept is what this instance had put into the store of kept KV cache. Peers are
+// not told: an engine finds what they had put there all the same, and what an
+// instance puts there twice is moved once. The value is the time until which a
+// prefix counts as kept.
+type kept map[hbs.LevelKey]time.Time
+
+// longest returns the longest of the levels that is kept.
+func (k kept) longest(levels []hbs.Level, now time.Time) (found hbs.Level) {
+	for i := len(levels) - 1; i >= 0; i-- {
+		if now.Before(k[levels[i].Key]) {
+			return levels[i]
+		}
+	}
+	return hbs.Level{}
+}
+
+func (k kept) add(key hbs.LevelKey, now time.Time) {
+	if len(k) < maxKept {
+		k[key] = now.Add(keptTTL)
+	}
+}
+
+// tidy forgets what is too old.
+func (k kept) tidy(now time.Time) {
+	for key, until := range k {
+		if now.After(until) {
+			delete(k, key)
+		}
+	}
+}
+
+// keep returns how many levels of the prompt are to be put into the store on m:
+// all but the last one, which other prompts seldom share, unless they are kept
+// already but for a few tokens.
+func (f *Fleet) keep(g *group, m *member, req *hbs.Request) (levels int) {
+	n := len(req.Levels) - 1
+	if n <= 0 || !f.usesStore(g, m) {
+		return 0
+	}
+	if req.Levels[n-1].Tokens < g.kept.Tokens+g.tuning.keepGain {
+		return 0
+	}
+	return n
+}
+
+// usesStore tells whether m may use the store of kept KV cache.
+func (f *Fleet) usesStore(g *group, m *member) bool {
+	return m.rec.Capabilities.KVTransfer && m.rec.Weights != "" && g.tuning.importRate > 1
+}
+
+// keeping takes the levels that an engine has computed and puts into the store.
+func (f *Fleet) keeping(levels []hbs.Level, now time.Time) {
+	for _, l := range levels {
+		if l.Tokens < minKept || now.Before(f.kept[l.Key]) {
+			continue
+		}
+		f.kept.add(l.Key, now)
+	}
+}
+
+// importable sets how much of the prompt m would load from the store of kept KV
+// cache, and the time for it.
+func (f *Fleet) importable(g *group, m *member) {
+	m.kept, m.imported, m.importTime = 0, 0, 0
+	missing := float64(g.kept.Tokens) - m.cached
+	if missing <= 0 || !f.usesStore(g, m) {
+		return
+	}
+	m.kept = missing
+	m.imported = missing * g.rates.store
+	m.importTime = importBase + missing/g.tuning.importRate
+}
+
+// spreadCost returns the cost of computing a prefix outside its set on m. Where
+// prefixes that lose their place in a cache are loaded again, it is lower.
+func (f *Fleet) spreadCost(g *group, m *member) float64 {
+	t := &g.tuning
+	if !f.usesStore(g, m) {
+		return t.spreadCost
+	}
+	return t.spreadCost + (t.keptSpreadCost-t.spreadCost)*g.rates.store
+}
+
+// loaded compares what was expected from the store with the engine's count. What
+// did not come counts as kept no longer, so that it is put there again.
+func (f *Fleet) loaded(b *booking, cached float64) {
+	if b.kept < minKept {
+		return
+	}
+	b.member.group.rates.loaded(b.believed, b.kept, cached)
+	if cached >= b.believed+b.kept/2 {
+		return
+	}
+	f.meters.loadMisses.Inc(1)
+	for _, l := range b.levels {
+		if float64(l.Tokens) > cached {
+			delete(f.kept, l.Key)
+		}
+	}
+}
--- /dev/null
+++ b/placement/rules_test.go
@@ -0,0 +1,339 @@
+package placement_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	hbs "github.com/hornbeamstage/hornbeamstage"
+	"github.com/hornbeamstage/hornbeamstage/placement"
+)
+
+// bubble runs body in virtual time.
+func bubble(body func(g Gomega)) {
+	synctest.Test(suiteT, func(t *testing.T) { body(NewWithT(t)) })
+}
+
+var _ = Describe("Fleet", func() {
+	It("sends a prefix back to where it was computed (rules 1 and 3)", func() {
+		bubble(func(g Gomega) {
+			f := newFleet(newDirectory(12), "a")
+			p := mustPlace(g, f, request(1, 2, 3))
+			complete(f, p, "1", 0)
+			q := mustPlace(g, f, request(1, 2, 4))
+			g.Expect(q.Endpoint.ID).To(Equal(p.Endpoint.ID))
+			g.Expect(q.CachedTokens).To(Equal(2000))
+		})
+	})
+
+	It("agrees between instances that never heard of each other (rule 1)", func() {
+		bubble(func(g Gomega) {
+			d := newDirectory(12)
+			a, b := newFleet(d, "a"), newFleet(d, "b")
+			for key := hbs.LevelKey(1); key < 50; key++ {
+				p, q := mustPlace(g, a, request(key*77)), mustPlace(g, b, request(key*77))
+				complete(a, p, "1", 0)
+				complete(b, q, "1", 0)
+				g.Expect(q.Endpoint.ID).To(Equal(p.Endpoint.ID))
+			}
+		})
+	})
+
+	DescribeTable("believes nothing of another life (rule 3)", func(end func(*placement.Fleet, *directory, hbs.Placement)) {
+		bubble(func(g Gomega) {
+			d := newDirectory(6)
+			f := newFleet(d, "a")
+			p := mustPlace(g, f, request(1, 2))
+			complete(f, p, "1", 0)
+			g.Expect(mustPlace(g, f, request(1, 2)).CachedTokens).To(Equal(2000))
+			end(f, d, p)
+			g.Expect(mustPlace(g, f, request(1, 2)).CachedTokens).To(BeZero())
+		})
+	},
+		Entry("an answer of a new incarnation", func(f *placement.Fleet, _ *directory, p hbs.Placement) {
+			f.Finish(&p, hbs.AttemptResult{})
+			q, _ := f.Place(request(9), others(p))
+			complete(f, q, "2", 0)
+		}),
+		Entry("the roster tells a new incarnation", func(_ *placement.Fleet, d *directory, p hbs.Placement) {
+			d.edit(func(r *hbs.Roster) { find(r, p).Incarnation = "2" })
+		}),
+		Entry("the roster tells new weights", func(_ *placement.Fleet, d *directory, p hbs.Placement) {
+			d.edit(func(r *hbs.Roster) { find(r, p).Weights = "w2" })
+		}),
+		Entry("the endpoint left and came back", func(f *placement.Fleet, d *directory, p hbs.Placement) {
+			whole := d.roster
+			d.edit(func(r *hbs.Roster) { r.Endpoints = nil })
+			_, _ = f.Place(request(9), nil)
+			d.edit(func(r *hbs.Roster) { r.Endpoints = whole.Endpoints })
+		}),
+	)
+
+	It("ignores late word of a dead incarnation (rule 3)", func() {
+		bubble(func(g Gomega) {
+			f := newFleet(newDirectory(1), "a")
+			late := mustPlace(g, f, request(1, 2))
+			p := mustPlace(g, f, request(5))
+			complete(f, p, "2", 0)
+			complete(f, late, "1", 2000)
+			g.Expect(mustPlace(g, f, request(1, 2)).CachedTokens).To(BeZero())
+		})
+	})
+
+	It("takes the end of an attempt on an endpoint that has left", func() {
+		bubble(func(g Gomega) {
+			d := newDirectory(2)
+			f := newFleet(d, "a")
+			late := mustPlace(g, f, request(1, 2))
+			d.edit(func(r *hbs.Roster) {
+				r.Endpoints = []hbs.Endpoint{r.Endpoints[0], r.Endpoints[1]}
+				*find(r, late) = newDirectory(3).roster.Endpoints[2]
+			})
+			mustPlace(g, f, request(9))
+			complete(f, late, "1", 0)
+			g.Expect(mustPlace(g, f, request(1, 2)).CachedTokens).To(BeZero())
+		})
+	})
+
+	It("lets favoured requests pass what waits at an endpoint (rule 9)", func() {
+		bubble(func(g Gomega) {
+			f := newFleet(newDirectory(1), "a")
+			err := error(nil)
+			for err == nil {
+				_, err = f.Place(request(), nil)
+			}
+			g.Expect(err).To(MatchError(hbs.ErrFull))
+			favoured := request()
+			favoured.Favoured = true
+			g.Expect(mustPlace(g, f, favoured).Wait).To(BeZero())
+		})
+	})
+
+	It("sends favoured requests where they are in time (rule 9)", func() {
+		bubble(func(g Gomega) {
+			f := newFleet(newDirectory(2), "a")
+			first := mustPlace(g, f, request(1, 2))
+			complete(f, first, "1", 0)
+			r := request(1, 2, 3)
+			r.Favoured = true
+			for range 8 {
+				g.Expect(mustPlace(g, f, r).Endpoint.ID).To(Equal(first.Endpoint.ID))
+			}
+			r.Deadline = time.Now().Add(mustPlace(g, f, r).FirstToken + 200*time.Millisecond)
+			g.Expect(mustPlace(g, f, r).Endpoint.ID).NotTo(Equal(first.Endpoint.ID))
+		})
+	})
+
+	It("never places on other weights, a model's other adapter or a leaving endpoint", func() {
+		bubble(func(g Gomega) {
+			d := newDirectory(3)
+			d.edit(func(r *hbs.Roster) {
+				r.Endpoints[0].Weights = "w0"
+				r.Endpoints[1].State = hbs.StateLeaving
+				r.Endpoints[2].State = hbs.StateDraining
+			})
+			_, err := newFleet(d, "a").Place(request(1), nil)
+			g.Expect(err).To(MatchError(hbs.ErrNoEndpoint))
+			req := request(1)
+			req.Adapter = "cowl"
+			_, err = newFleet(newDirectory(3), "a").Place(req, nil)
+			g.Expect(err).To(MatchError(hbs.ErrNoEndpoint))
+		})
+	})
+
+	It("forgets what the endpoint has surely evicted", func() {
+		bubble(func(g Gomega) {
+			f := newFleet(newDirectory(3), "a")
+			complete(f, mustPlace(g, f, request(1, 2)), "1", 0)
+			time.Sleep(10 * time.Minute)
+			g.Expect(mustPlace(g, f, request(1, 2)).CachedTokens).To(BeZero())
+		})
+	})
+
+	It("answers full when slots are taken, and serves again after (rule 7)", func() {
+		bubble(func(g Gomega) {
+			f := newFleet(newDirectory(2), "a")
+			var placed []hbs.Placement
+			for {
+				req := request()
+				req.PromptTokens = 1
+				p, err := f.Place(req, nil)
+				if err != nil {
+					g.Expect(err).To(MatchError(hbs.ErrFull))
+					break
+				}
+				placed = append(placed, p)
+			}
+			g.Expect(placed).To(HaveLen(2 * 8))
+			complete(f, placed[0], "1", -1)
+			mustPlace(g, f, request())
+		})
+	})
+
+	It("keeps short work off an engine with a long prefill queued (rule 4)", func() {
+		bubble(func(g Gomega) {
+			f := newFleet(newDirectory(4), "a")
+			long := request(1)
+			long.Levels[0].Tokens, long.PromptTokens = 30_000, 30_000
+			p := mustPlace(g, f, long)
+			for key := hbs.LevelKey(100); key < 120; key++ {
+				short := request(key)
+				short.Levels[0].Tokens, short.PromptTokens = 50, 50
+				q := mustPlace(g, f, short)
+				g.Expect(q.Endpoint.ID).NotTo(Equal(p.Endpoint.ID))
+				complete(f, q, "1", 0)
+			}
+		})
+	})
+
+	It("spreads a very hot prefix over several endpoints (rule 2)", func() {
+		bubble(func(g Gomega) {
+			f := newFleet(newDirectory(12), "a")
+			used := map[hbs.EndpointID]bool{}
+			var open []hbs.Placement
+			cached := 0
+			for i := range 400 {
+				p := mustPlace(g, f, request(1, hbs.LevelKey(1000+i)))
+				used[p.Endpoint.ID] = true
+				cached += p.CachedTokens
+				open = append(open, p)
+				time.Sleep(10 * time.Millisecond)
+				if len(open) > 20 {
+					complete(f, open[0], "1", 1000)
+					open = open[1:]
+				}
+			}
+			g.Expect(len(used)).To(BeNumerically(">=", 3))
+			g.Expect(cached).To(BeNumerically(">", 380*1000))
+		})
+	})
+
+	It("leaves a domain that is cut off and comes back to it (rule 8)", func() {
+		bubble(func(g Gomega) {
+			f := newFleet(newDirectory(12), "a")
+			cut := func(p hbs.Placement) bool { return p.Endpoint.Domain == "b" }
+			tries := 0
+			for key := hbs.LevelKey(1); key < 200; key++ {
+				p := mustPlace(g, f, request(key*7))
+				if !cut(p) {
+					complete(f, p, "1", 0)
+					continue
+				}
+				tries++
+				f.Finish(&p, hbs.AttemptResult{End: hbs.EndUnreached, CachedTokens: -1})
+			}
+			g.Expect(tries).To(BeNumerically("<=", 2))
+			time.Sleep(10 * time.Second)
+			back := false
+			for key := hbs.LevelKey(1); key < 200; key++ {
+				p := mustPlace(g, f, request(key*7))
+				back = back || cut(p)
+				complete(f, p, "1", 0)
+			}
+			g.Expect(back).To(BeTrue())
+		})
+	})
+
+	DescribeTable("scopes", func(scope placement.Scope, staffed bool, want []hbs.DomainName) {
+		bubble(func(g Gomega) {
+			d := newDirectory(12)
+			if !staffed {
+				d.edit(func(r *hbs.Roster) { r.Instances = r.Instances[:2] })
+			}
+			f := newFleet(d, "a")
+			f.Scope = scope
+			used := map[hbs.DomainName]bool{}
+			for key := hbs.LevelKey(1); key < 100; key++ {
+				p := mustPlace(g, f, request(key*7))
+				used[p.Endpoint.Domain] = true
+				complete(f, p, "1", 0)
+			}
+			g.Expect(used).To(HaveLen(len(want)))
+			for _, name := range want {
+				g.Expect(used).To(HaveKey(name))
+			}
+		})
+	},
+		Entry("own domain", placement.ScopeDomain, true, []hbs.DomainName{"a"}),
+		Entry("own domain and one without instances", placement.ScopeDomain, false, []hbs.DomainName{"a", "c"}),
+		Entry("region", placement.ScopeRegion, true, []hbs.DomainName{"a", "b", "c"}),
+		Entry("home domain", placement.ScopeHome, true, []hbs.DomainName{"a", "b", "c"}),
+	)
+
+	It("gives a straggler less, from attempts that have no first token yet (rule 5)", func() {
+		bubble(func(g Gomega) {
+			f := newFleet(newDirectory(6), "a")
+			slow := hbs.EndpointID("engine-002")
+			late := 0
+			for i := range 600 {
+				req := request(hbs.LevelKey(1000 + i))
+				p := mustPlace(g, f, req)
+				time.Sleep(10 * time.Millisecond)
+				if p.Endpoint.ID == slow {
+					if i > 150 {
+						late++
+					}
+					continue
+				}
+				complete(f, p, "1", 0)
+			}
+			// A fair share of the last 450 would be 75.
+			g.Expect(late).To(BeNumerically("<", 15))
+		})
+	})
+
+	It("gives an endpoint less whose streams have slowed (rule 5)", func() {
+		bubble(func(g Gomega) {
+			f := newFleet(newDirectory(6), "a")
+			slow := hbs.EndpointID("engine-002")
+			streams := map[hbs.EndpointID]hbs.Placement{}
+			for i := 0; len(streams) < 6; i++ {
+				p := mustPlace(g, f, request(hbs.LevelKey(i)))
+				f.FirstToken(&p, 50*time.Millisecond, -1)
+				streams[p.Endpoint.ID] = p
+			}
+			for range 6 {
+				for id, p := range streams {
+					gap := 25 * time.Millisecond
+					if id == slow {
+						gap *= 5
+					}
+					f.Paced(&p, gap)
+				}
+			}
+			time.Sleep(100 * time.Millisecond)
+			given := 0
+			for i := range 30 {
+				p := mustPlace(g, f, request(hbs.LevelKey(1000+i)))
+				if p.Endpoint.ID == slow {
+					given++
+				}
+				complete(f, p, "1", 0)
+			}
+			// A fair share would be 5.
+			g.Expect(given).To(BeNumerically("<=", 1))
+		})
+	})
+})
+
+// others lists the endpoints of newDirectory but that of p.
+func others(p hbs.Placement) (list []hbs.EndpointID) {
+	for _, e := range newDirectory(12).roster.Endpoints {
+		if e.ID != p.Endpoint.ID {
+			list = append(list, e.ID)
+		}
+	}
+	return list
+}
+
+func find(r *hbs.Roster, p hbs.Placement) *hbs.Endpoint {
+	for i := range r.Endpoints {
+		if r.Endpoints[i].ID == p.Endpoint.ID {
+			return &r.Endpoints[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/replay/faultendpoint.go
@@ -0,0 +1,55 @@
+package replay
+
+import (
+	"github.com/cockroachdb/errors"
+
+	"github.com/hornbeamstage/hornbeamstage/standin/engine"
+	"github.com/hornbeamstage/hornbeamstage/standin/service"
+	"github.com/hornbeamstage/hornbeamstage/trace"
+)
+
+// engineStrike and serviceStrike are what a fault does to one endpoint.
+type (
+	engineStrike  func(e *engine.Engine, f Fault)
+	serviceStrike func(s *service.Service, f Fault)
+)
+
+func (r *Replay) applyToEndpoints(f Fault) error {
+	onEngine, onService := engineStrikes[f.Kind], serviceStrikes[f.Kind]
+	if onEngine == nil && onService == nil {
+		return errors.New("unknown kind")
+	}
+	if onEngine != nil {
+		return strike(f, r.fleet.engines, func(e *engine.Engine) string { return string(e.ID) }, onEngine)
+	}
+	return strike(f, r.fleet.services, func(s *service.Service) string { return string(s.ID) }, onService)
+}
+
+func strike[T any](f Fault, all []T, name func(T) string, do func(T, Fault)) error {
+	struck := targets(f, all, name)
+	if len(struck) == 0 {
+		return errNoTarget
+	}
+	for _, t := range struck {
+		do(t, f)
+	}
+	return nil
+}
+
+var engineStrikes = map[FaultKind]engineStrike{
+	FaultEngineCrash: func(e *engine.Engine, f Fault) { e.Crash(f.duration()) },
+	FaultEngineSlow:  func(e *engine.Engine, f Fault) { e.Slow(f.Factor, f.duration()) },
+	FaultEngineLate:  func(e *engine.Engine, f Fault) { e.Late(trace.Seconds(f.ExtraSeconds), f.duration()) },
+	FaultEngineCross: func(e *engine.Engine, f Fault) { e.Cross(f.Times) },
+	FaultEngineBreak: func(e *engine.Engine, f Fault) { e.Break(f.Times) },
+	FaultEngineFail:  func(e *engine.Engine, f Fault) { e.Fail(f.duration()) },
+	FaultEventsLost:  func(e *engine.Engine, f Fault) { e.LoseEvents(f.Share) },
+	FaultLoadLag:     func(e *engine.Engine, f Fault) { e.DelayLoad(trace.Seconds(f.ExtraSeconds)) },
+}
+
+var serviceStrikes = map[FaultKind]serviceStrike{
+	FaultServiceCrash:        func(s *service.Service, f Fault) { s.Crash(f.duration()) },
+	FaultServiceSlow:         func(s *service.Service, f Fault) { s.Slow(f.Factor, f.duration()) },
+	FaultServiceFailAfterRun: func(s *service.Service, f Fault) { s.FailAfterRun(f.Times) },
+	FaultServiceDieAfterRun:  func(s *service.Service, f Fault) { s.DieAfterRun(f.Times) },
+}
--- /dev/null
+++ b/router/witness.go
@@ -0,0 +1,54 @@
+package router
+
+import (
+	"context"
+
+	hbs "github.com/hornbeamstage/hornbeamstage"
+	"github.com/hornbeamstage/hornbeamstage/membership"
+)
+
+// witness passes the end of each attempt on to membership as well.
+type witness struct {
+	hbs.Placer
+	directory *membership.Directory
+}
+
+// Finish implements hornbeamstage.Placer.
+func (w *witness) Finish(p *hbs.Placement, r hbs.AttemptResult) {
+	w.directory.Report(p.Endpoint.ID, r)
+	w.Placer.Finish(p, r)
+}
+
+// noPlatform is the platform of an instance that has none: every call fails
+// and certainly did nothing.
+type noPlatform struct{}
+
+var _ hbs.Platform = noPlatform{}
+
+func (noPlatform) Get(context.Context, hbs.ObjectKind, string) (hbs.Object, error) {
+	return hbs.Object{}, hbs.ErrNotApplied
+}
+
+func (noPlatform) List(context.Context, hbs.ObjectKind) ([]hbs.Object, hbs.Revision, error) {
+	return nil, 0, hbs.ErrNotApplied
+}
+
+func (noPlatform) ListPage(context.Context, hbs.ObjectKind, int, string) (hbs.Page, error) {
+	return hbs.Page{}, hbs.ErrNotApplied
+}
+
+func (noPlatform) Create(context.Context, hbs.Object) (hbs.Object, error) {
+	return hbs.Object{}, hbs.ErrNotApplied
+}
+
+func (noPlatform) Update(context.Context, hbs.Object) (hbs.Object, error) {
+	return hbs.Object{}, hbs.ErrNotApplied
+}
+
+func (noPlatform) Delete(context.Context, hbs.ObjectKind, string, hbs.Revision) error {
+	return hbs.ErrNotApplied
+}
+
+func (noPlatform) Watch(context.Context, hbs.ObjectKind, hbs.Revision, chan<- hbs.WatchEvent) error {
+	return hbs.ErrNotApplied
+}
--- /dev/null
+++ b/standin/engine/events.go
@@ -0,0 +1,75 @@
+package engine
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/hornbeamstage/hornbeamstage/delay"
+)
+
+// eventPoll is how often a stream of cache events looks for due ones.
+const eventPoll = 100 * time.Millisecond
+
+func (e *Engine) serveEvents(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	markControl(r)
+	if !e.Capabilities.CacheEvents {
+		writeError(w, http.StatusNotFound, "no_cache_events")
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	w.(http.Flusher).Flush()
+	next, err := strconv.Atoi(r.URL.Query().Get("from"))
+	if err != nil {
+		next = e.newestEvent()
+	}
+	for r.Context().Err() == nil {
+		var due []byte
+		due, next = e.dueEvents(next)
+		if len(due) > 0 {
+			_, _ = w.Write(due)
+			w.(http.Flusher).Flush()
+		}
+		_ = delay.For(r.Context(), eventPoll)
+	}
+}
+
+// newestEvent returns the number of the first event that is not old enough to
+// be told yet.
+func (e *Engine) newestEvent() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	i := len(e.events.kept)
+	for i > 0 && now.Sub(e.events.kept[i-1].at) < eventLag {
+		i--
+	}
+	return e.events.first + i
+}
+
+// dueEvents returns the events from number next on that are old enough to be told.
+func (e *Engine) dueEvents(next int) (b []byte, after int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	if next < e.events.first || next > e.events.first+len(e.events.kept) {
+		next = e.events.first
+	}
+	for next-e.events.first < len(e.events.kept) {
+		ev := e.events.kept[next-e.events.first]
+		if now.Sub(ev.at) < eventLag {
+			break
+		}
+		if !ev.lost {
+			data, _ := json.Marshal(ev.data)
+			b = fmt.Appendf(b, "id: %d\ndata: %s\n\n", next, data)
+		}
+		next++
+	}
+	return b, next
+}
--- /dev/null
+++ b/standin/engine/wire.go
@@ -0,0 +1,82 @@
+package engine
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+)
+
+// countingListener counts the bytes of the connections that it accepts.
+type countingListener struct {
+	net.Listener
+	// total receives the bytes of connections that carry control.
+	total *atomic.Int64
+}
+
+// Accept implements net.Listener.
+func (l *countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countingConn{Conn: c, total: l.total}, nil
+}
+
+// countingConn counts what it reads and writes, headers included.
+type countingConn struct {
+	net.Conn
+	total *atomic.Int64
+
+	mu      sync.Mutex
+	control bool
+	// pending is the bytes before the connection was known to carry control.
+	pending int64
+}
+
+// Read implements net.Conn.
+func (c *countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.add(n)
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.add(n)
+	return n, err
+}
+
+func (c *countingConn) add(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.control {
+		c.total.Add(int64(n))
+		return
+	}
+	c.pending += int64(n)
+}
+
+// markControl counts all bytes of the connection, also those before.
+func (c *countingConn) markControl() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.total.Add(c.pending)
+	c.control, c.pending = true, 0
+}
+
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// markControl counts the connection of r as one that carries control.
+func markControl(r *http.Request) {
+	if c, ok := r.Context().Value(connKey{}).(*countingConn); ok {
+		c.markControl()
+	}
+}
--- /dev/null
+++ b/straggler/straggler_test.go
@@ -0,0 +1,124 @@
+package straggler_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hornbeamstage/hornbeamstage/straggler"
+)
+
+func TestStraggler(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "straggler")
+}
+
+var _ = Describe("Judge", func() {
+	var scores []*straggler.Score
+	now := time.Unix(1_000_000, 0)
+
+	BeforeEach(func() {
+		scores = nil
+		for range 9 {
+			scores = append(scores, &straggler.Score{})
+		}
+	})
+
+	observe := func(ratios ...float64) {
+		for range 10 {
+			for i, r := range ratios {
+				scores[i].Observe(r, now)
+			}
+		}
+	}
+
+	ejected := func() (n int) {
+		for _, s := range scores {
+			if s.Ejected() {
+				n++
+			}
+		}
+		return n
+	}
+
+	It("finds a slow endpoint among ordinary ones (rule 3)", func() {
+		observe(5, 1, 1, 1, 1, 1, 1, 1, 1)
+		straggler.Judge(scores, now)
+		Expect(scores[0].Slowness()).To(BeNumerically(">", 3))
+		Expect(scores[0].Ejected()).To(BeTrue())
+		Expect(scores[1].Slowness()).To(Equal(1.0))
+		Expect(ejected()).To(Equal(1))
+	})
+
+	It("finds none when all are slow (rule 3)", func() {
+		observe(5, 5, 5, 5, 5, 5, 5, 5, 5)
+		straggler.Judge(scores, now)
+		Expect(scores[0].Slowness()).To(Equal(1.0))
+		Expect(ejected()).To(BeZero())
+	})
+
+	It("ejects at most a third, the slowest (rule 4)", func() {
+		observe(9, 8, 8, 7, 1, 1, 1, 1, 1)
+		straggler.Judge(scores, now)
+		Expect(ejected()).To(Equal(3))
+		Expect(scores[3].Ejected()).To(BeFalse())
+		Expect(scores[3].Slowness()).To(BeNumerically(">", 3))
+	})
+
+	It("takes an overdue first token as evidence at once (rule 2)", func() {
+		scores[0].Overdue(straggler.Ratio(2*time.Second, 100*time.Millisecond))
+		straggler.Judge(scores, now)
+		Expect(scores[0].Ejected()).To(BeTrue())
+		scores[0].Overdue(0)
+		straggler.Judge(scores, now)
+		Expect(scores[0].Ejected()).To(BeFalse())
+	})
+
+	It("judges by what peers saw too, before it would alone (rule 2)", func() {
+		for range 2 {
+			scores[0].Observe(5, now)
+		}
+		straggler.Judge(scores, now)
+		Expect(scores[0].Ejected()).To(BeFalse(), "alone")
+		told := scores[0].Own(now)
+		scores[0].Peers(straggler.Evidence{Sum: 6 * told.Sum, Weight: 6 * told.Weight})
+		straggler.Judge(scores, now)
+		Expect(scores[0].Ejected()).To(BeTrue(), "with six peers that saw the same")
+		scores[0].Peers(straggler.Evidence{Weight: 100})
+		straggler.Judge(scores, now)
+		Expect(scores[0].Slowness()).To(Equal(1.0), "with peers that saw it fast")
+	})
+
+	It("tells peers of an overdue attempt before it ends (rule 2)", func() {
+		Expect(scores[0].Own(now).Weight).To(BeZero())
+		scores[0].Overdue(8)
+		Expect(scores[0].Own(now).Sum).To(BeNumerically(">", 2))
+	})
+
+	It("lets evidence fade (rule 5)", func() {
+		observe(5, 1, 1, 1, 1, 1, 1, 1, 1)
+		straggler.Judge(scores, now.Add(12*time.Second))
+		Expect(scores[0].Slowness()).To(Equal(1.0))
+	})
+
+	It("follows the pace of streams both ways, whatever was seen before (rule 6)", func() {
+		observe(1, 1, 1, 1, 1, 1, 1, 1, 1)
+		for range 4 {
+			scores[0].Pace(5, now)
+		}
+		straggler.Judge(scores, now)
+		Expect(scores[0].Slowness()).To(BeNumerically(">", 1.4))
+		for range 4 {
+			scores[0].Pace(1, now)
+		}
+		straggler.Judge(scores, now)
+		Expect(scores[0].Slowness()).To(Equal(1.0))
+	})
+
+	It("does not take the noise of short times for slowness (rule 1)", func() {
+		Expect(straggler.Ratio(60*time.Millisecond, 10*time.Millisecond)).To(BeNumerically("<", 1.4))
+		Expect(straggler.Ratio(5*time.Second, 5*time.Second)).To(Equal(1.0))
+	})
+})
