hedge: take a hedge of the ample half in one step

Cause: Policy.Allow asked whether half of the burst was left and then took one hedge, under two locks. Requests whose timers fire at one instant all passed the question and used up the half kept for endpoints judged slow (hedge rule 8).

Change: retry.Budget.SpendAmple asks and takes under one lock.

Ruled out: what answers earn.

--- a/hedge/hedge.go
+++ b/hedge/hedge.go
@@ -105,8 +105,11 @@
 // budget (rules 3 and 8).
 func (p *Policy) Allow(req *hbs.Request, slowness float64) bool {
 	scope := retry.ScopeOf(req)
-	reserved := slowness <= 1 && !p.Budget.Ample(scope)
-	if reserved || !p.Retries.Ample(scope) || !p.Budget.Spend(scope) {
+	spend := p.Budget.SpendAmple
+	if slowness > 1 {
+		spend = p.Budget.Spend
+	}
+	if !p.Retries.Ample(scope) || !spend(scope) {
 		return false
 	}
 	p.count("hedge_sent", 1)
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -37,11 +37,17 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	left, _ := b.balance(scope)
-	if left < 1 {
-		return false
-	}
-	b.left[accountOf(scope)] = left - 1
-	return true
+	return b.take(scope, left)
+}
+
+// SpendAmple takes one attempt where Ample holds, and reports whether it did.
+// Check and take are one step, so that callers at the same instant cannot take
+// the half that is kept.
+func (b *Budget) SpendAmple(scope hbs.Scope) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	left, burst := b.balance(scope)
+	return ample(left, burst) && b.take(scope, left)
 }
 
 // Ample reports whether at least half of what may be kept is left, as it is
@@ -49,8 +55,18 @@
 func (b *Budget) Ample(scope hbs.Scope) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	left, burst := b.balance(scope)
-	return left >= burst/2
+	return ample(b.balance(scope))
+}
+
+func ample(left, burst float64) bool { return left >= burst/2 }
+
+// take takes one attempt of the left ones. The caller holds mu.
+func (b *Budget) take(scope hbs.Scope, left float64) bool {
+	if left < 1 {
+		return false
+	}
+	b.left[accountOf(scope)] = left - 1
+	return true
 }
 
 // Refund gives back an attempt that was not made.
@@ -61,6 +77,7 @@
 	b.left[accountOf(scope)] = min(left+1, burst)
 }
 
+// balance returns the account of scope. The caller holds mu.
 func (b *Budget) balance(scope hbs.Scope) (left, burst float64) {
 	if b.left == nil {
 		b.left = map[account]float64{}
