gateway: serve callers on a hosting platform

Cause: the router runs on the users' machines only through its own object API, callers' API and engine API. Their platform has other ones: routes, keys and endpoints lie in its store, and callers and endpoints speak HTTP with headers.

Change: package platform reads the platform's settings, its store (a second wire form of the one client), routes, records, headers; package route holds the table of routes, roster the endpoints, forward sends attempts on, gateway joins them. Admission, placement and retries are those of the router. Hedges are off there. Weights are not ordered yet.

--- a/attempt/attempt.go
+++ b/attempt/attempt.go
@@ -37,6 +37,13 @@
 	hbs "github.com/hornbeamstage/hornbeamstage"
 )
 
+// Runner runs attempts.
+type Runner interface {
+	// Run dispatches c and passes the answer on. It returns when nothing of the
+	// attempt is left running.
+	Run(ctx context.Context, c *Call) Result
+}
+
 // Sender runs attempts. It keeps no connection and no goroutine of its own.
 type Sender struct {
 	Network hbs.Network
@@ -60,6 +67,9 @@
 	// FirstToken is called when the first event of a stream or the first byte
 	// of another answer arrived; cached is negative when not told yet.
 	FirstToken func(after time.Duration, cached int)
+	// After is the last event that Sink has of the answer, when another attempt
+	// started it and this one goes on; empty for an answer that starts.
+	After string
 	// Paced is called while a stream runs, for each part of at least paceWindow
 	// with the shortest time between two of its events; may be nil.
 	Paced func(gap time.Duration)
@@ -86,12 +96,14 @@
 	Held *Held
 	// Lost: another attempt had won the request.
 	Lost bool
+	// LastEvent is set for a stream that broke after it was started and that
+	// another attempt can go on with: the last event that Sink has.
+	LastEvent string
 	// Events tells that the answer in Sink is a stream of events.
 	Events bool
 }
 
-// Run dispatches c and passes the answer on. It returns when nothing of the
-// attempt is left running.
+// Run implements Runner.
 func (s *Sender) Run(ctx context.Context, c *Call) Result {
 	r := &run{Sender: s, Call: c, started: time.Now()}
 	r.result.CachedTokens = -1
--- a/attempt/dispatch.go
+++ b/attempt/dispatch.go
@@ -140,7 +140,7 @@
 		q.Body = io.NopCloser(bytes.NewReader(body))
 		q.ContentLength = int64(len(body))
 	}
-	return singleUse(conn).RoundTrip(q)
+	return SingleUse(conn).RoundTrip(q)
 }
 
 // endpointURL joins address and path. Path includes the query.
--- a/attempt/stream.go
+++ b/attempt/stream.go
@@ -176,7 +176,7 @@
 		return nil, nil, err
 	}
 	q.Header.Set(headerAttempt, string(r.Placement.Attempt))
-	res, err = singleUse(conn).RoundTrip(q)
+	res, err = SingleUse(conn).RoundTrip(q)
 	if err != nil {
 		_ = conn.Close()
 		return nil, nil, err
--- a/attempt/transport.go
+++ b/attempt/transport.go
@@ -12,9 +12,9 @@
 // errSpent is the error of a second dial (rule 1).
 var errSpent = errors.New("connection was used before")
 
-// singleUse returns a transport whose one connection is conn. It keeps no
+// SingleUse returns a transport whose one connection is conn. It keeps no
 // connection and cannot make another.
-func singleUse(conn net.Conn) *http.Transport {
+func SingleUse(conn net.Conn) *http.Transport {
 	var used atomic.Bool
 	return &http.Transport{
 		DialContext: func(context.Context, string, string) (net.Conn, error) {
--- /dev/null
+++ b/caller/sink.go
@@ -0,0 +1,57 @@
+package caller
+
+import (
+	"net/http"
+	"time"
+
+	hbs "github.com/hornbeamstage/hornbeamstage"
+)
+
+// Sink writes one answer to a caller.
+type Sink struct {
+	// Began is set once the status was written.
+	Began bool
+
+	w http.ResponseWriter
+	c *http.ResponseController
+	// wait bounds one write, so that a stalled caller does not hold an endpoint.
+	wait time.Duration
+}
+
+var _ hbs.Sink = (*Sink)(nil)
+
+// NewSink returns a sink that writes to w. Each write may take up to wait.
+func NewSink(w http.ResponseWriter, wait time.Duration) *Sink {
+	return &Sink{w: w, c: http.NewResponseController(w), wait: wait}
+}
+
+// Start implements hornbeamstage.Sink.
+func (s *Sink) Start(status int, header http.Header) error {
+	s.Began = true
+	for name, values := range header {
+		s.w.Header()[name] = values
+	}
+	if err := s.extend(); err != nil {
+		return err
+	}
+	s.w.WriteHeader(status)
+	return nil
+}
+
+// Write implements hornbeamstage.Sink.
+func (s *Sink) Write(p []byte) error {
+	if err := s.extend(); err != nil {
+		return err
+	}
+	if _, err := s.w.Write(p); err != nil {
+		return err
+	}
+	return s.c.Flush()
+}
+
+// SetReadDeadline bounds the time to read the request; the zero time lifts it.
+func (s *Sink) SetReadDeadline(t time.Time) error { return s.c.SetReadDeadline(t) }
+
+func (s *Sink) extend() error {
+	return s.c.SetWriteDeadline(time.Now().Add(s.wait))
+}
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -11,6 +11,8 @@
 	"github.com/hornbeamstage/hornbeamstage/claim"
 	"github.com/hornbeamstage/hornbeamstage/config"
 	"github.com/hornbeamstage/hornbeamstage/entry"
+	"github.com/hornbeamstage/hornbeamstage/forward"
+	"github.com/hornbeamstage/hornbeamstage/gateway"
 	"github.com/hornbeamstage/hornbeamstage/hedge"
 	"github.com/hornbeamstage/hornbeamstage/lease"
 	"github.com/hornbeamstage/hornbeamstage/limit"
@@ -55,6 +57,8 @@
 		claim.Meters,
 		config.Meters,
 		entry.Meters,
+		forward.Meters,
+		gateway.Meters,
 		hedge.Meters,
 		lease.Meters,
 		limit.Meters,
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -45,10 +45,11 @@
 	Log       *zap.Logger
 	// Weight returns a workspace's share in fair queueing; nil gives all the same.
 	Weight func(hbs.WorkspaceID) float64
+	// Sender runs the attempts; nil is an attempt.Sender.
+	Sender attempt.Runner
 
 	once      sync.Once
 	admission *admission.Controller
-	sender    *attempt.Sender
 	retries   *retry.Policy
 	hedges    *hedge.Policy
 }
@@ -60,7 +61,9 @@
 			d.Metrics = metrics.NewRegistry()
 		}
 		d.admission = &admission.Controller{Placer: d.Placer, Directory: d.Directory, Policy: d.Policy, Metrics: d.Metrics, Weight: d.Weight}
-		d.sender = &attempt.Sender{Network: d.Network, Policy: d.Policy, Metrics: d.Metrics}
+		if d.Sender == nil {
+			d.Sender = &attempt.Sender{Network: d.Network, Policy: d.Policy, Metrics: d.Metrics}
+		}
 		d.retries = &retry.Policy{
 			Budget: &retry.Budget{Knobs: d.Policy, Share: retry.KnobShare, Burst: retry.KnobBurst},
 			Knobs:  d.Policy, Metrics: d.Metrics,
@@ -112,6 +115,8 @@
 	avoid []hbs.EndpointID
 	// ran: an attempt may have run.
 	ran bool
+	// after is the last event that the caller has of a broken stream.
+	after string
 }
 
 func (s *serving) serve(ctx context.Context) (hbs.Outcome, error) {
@@ -121,6 +126,7 @@
 	}
 	for {
 		res := s.attempts(ctx, p)
+		s.after = res.LastEvent
 		if !s.retries.Allow(s.req, &res, s.tries) {
 			return s.conclude(&res)
 		}
@@ -152,6 +158,7 @@
 		Gate:      s.gate,
 		Priority:  p.Priority,
 		Sink:      s.sink,
+		After:     s.after,
 		FirstToken: func(after time.Duration, cached int) {
 			s.Placer.FirstToken(p, after, cached)
 		},
@@ -161,7 +168,7 @@
 
 // run runs one attempt and ends its booking.
 func (s *serving) run(ctx context.Context, c *attempt.Call) attempt.Result {
-	res := s.sender.Run(ctx, c)
+	res := s.Sender.Run(ctx, c)
 	s.admission.Finish(s.req, c.Placement, res.AttemptResult)
 	if res.End == hbs.EndComplete {
 		scope := retry.ScopeOf(s.req)
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -22,7 +22,9 @@
 	h      *Handler
 	r      *http.Request
 	params httprouter.Params
-	w      *responseSink
+	// out is the caller's connection and w the sink on it.
+	out http.ResponseWriter
+	w   *caller.Sink
 	// sink is what the answer is written to; it wraps w.
 	sink *timingSink
 	req  hbs.Request
@@ -37,7 +39,7 @@
 		x := h.newExchange(w, r, params)
 		outcome, err := x.serve(decode)
 		x.finish(outcome, err)
-		if err != nil && x.w.began && !x.endsInEvent() {
+		if err != nil && x.w.Began && !x.endsInEvent() {
 			// Only a broken connection tells the caller that the answer is cut.
 			panic(http.ErrAbortHandler)
 		}
@@ -50,8 +52,8 @@
 
 func (h *Handler) newExchange(w http.ResponseWriter, r *http.Request, params httprouter.Params) *exchange {
 	now := time.Now()
-	out := newResponseSink(w, h.WriteWait)
-	x := &exchange{h: h, r: r, params: params, w: out}
+	out := caller.NewSink(w, h.WriteWait)
+	x := &exchange{h: h, r: r, params: params, out: w, w: out}
 	x.sink = &timingSink{Sink: out, arrived: now}
 	x.req.ID = hbs.RequestID(rand.Text())
 	x.req.Arrived = now
@@ -101,7 +103,7 @@
 }
 
 func (x *exchange) readBody() error {
-	if err := x.w.c.SetReadDeadline(time.Now().Add(x.h.BodyWait)); err != nil {
+	if err := x.w.SetReadDeadline(time.Now().Add(x.h.BodyWait)); err != nil {
 		return badRequest(errors.Wrap(err, "set read deadline"))
 	}
 	body := http.MaxBytesReader(nil, x.r.Body, x.h.MaxBodyBytes)
@@ -115,7 +117,7 @@
 	}
 	x.req.Body = data
 	// The server watches for the caller's leaving only without a deadline.
-	return x.w.c.SetReadDeadline(time.Time{})
+	return x.w.SetReadDeadline(time.Time{})
 }
 
 func (x *exchange) readTerms() error {
@@ -170,8 +172,8 @@
 	if r.Reason == hbs.ReasonInternal {
 		x.h.Log.Error("request failed", zap.String("request", string(x.req.ID)), zap.Error(r))
 	}
-	if !x.w.began {
-		caller.WriteRefusal(x.w.w, r)
+	if !x.w.Began {
+		caller.WriteRefusal(x.out, r)
 	}
 	return r.Reason
 }
--- a/entry/service.go
+++ b/entry/service.go
@@ -108,7 +108,7 @@
 	if r.Status == 0 || r.Omitted {
 		return r.Outcome, x.recordedRefusal(r)
 	}
-	x.w.w.Header().Set(HeaderReplayed, "true")
+	x.out.Header().Set(HeaderReplayed, "true")
 	if err := x.sink.Start(r.Status, r.Header); err != nil {
 		return hbs.OutcomeUnknown, canceled(err)
 	}
--- a/entry/sink.go
+++ b/entry/sink.go
@@ -8,50 +8,6 @@
 	hbs "github.com/hornbeamstage/hornbeamstage"
 )
 
-// responseSink writes one answer to a caller.
-type responseSink struct {
-	w http.ResponseWriter
-	c *http.ResponseController
-	// wait bounds one write, so that a stalled caller does not hold an engine.
-	wait time.Duration
-	// began is set once the status was written.
-	began bool
-}
-
-var _ hbs.Sink = (*responseSink)(nil)
-
-func newResponseSink(w http.ResponseWriter, wait time.Duration) *responseSink {
-	return &responseSink{w: w, c: http.NewResponseController(w), wait: wait}
-}
-
-// Start implements hornbeamstage.Sink.
-func (s *responseSink) Start(status int, header http.Header) error {
-	s.began = true
-	for name, values := range header {
-		s.w.Header()[name] = values
-	}
-	if err := s.extend(); err != nil {
-		return err
-	}
-	s.w.WriteHeader(status)
-	return nil
-}
-
-// Write implements hornbeamstage.Sink.
-func (s *responseSink) Write(p []byte) error {
-	if err := s.extend(); err != nil {
-		return err
-	}
-	if _, err := s.w.Write(p); err != nil {
-		return err
-	}
-	return s.c.Flush()
-}
-
-func (s *responseSink) extend() error {
-	return s.c.SetWriteDeadline(time.Now().Add(s.wait))
-}
-
 // recordSink keeps a copy of an answer while it passes. It goes on when the
 // caller has left, so that the copy becomes whole.
 type recordSink struct {
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -32,17 +32,4 @@
 	{Name: MeterPanics, Kind: hbs.MeterCounter, Unit: hbs.UnitCount, Title: "Requests whose handler panicked", Action: "Report the logged stack; the request's outcome was told as unknown."},
 	{Name: MeterReplays, Kind: hbs.MeterCounter, Unit: hbs.UnitCount, Title: "Answers given from the record of an earlier run", Action: "None; callers retried with their key."},
 	{Name: MeterUnsettled, Kind: hbs.MeterCounter, Unit: hbs.UnitCount, Title: "Claims whose outcome could not be recorded at once", Action: "Look at the platform; callers' retries get claim_open until the claim is settled."},
-}, outcomeMeters()...)
-
-func outcomeMeters() []hbs.Meter {
-	var meters []hbs.Meter
-	for _, o := range []hbs.Outcome{hbs.OutcomeAnswered, hbs.OutcomeNotRun, hbs.OutcomeUnknown, hbs.OutcomeFailed} {
-		meters = append(meters, hbs.Meter{Name: meterOutcomePrefix + string(o), Kind: hbs.MeterCounter, Unit: hbs.UnitCount,
-			Title: "Requests with the outcome " + string(o), Action: "Look at the entry_reason counters."})
-	}
-	for _, info := range hbs.Reasons {
-		meters = append(meters, hbs.Meter{Name: meterReasonPrefix + string(info.Reason), Kind: hbs.MeterCounter, Unit: hbs.UnitCount,
-			Title: "Requests refused or failed: " + info.Title, Action: info.Text})
-	}
-	return meters
-}
+}, hbs.OutcomeMeters(meterOutcomePrefix, meterReasonPrefix)...)
--- /dev/null
+++ b/forward/tables.go
@@ -0,0 +1,20 @@
+package forward
+
+import hbs "github.com/hornbeamstage/hornbeamstage"
+
+const (
+	meterSent      = "forward_sent"
+	meterUnreached = "forward_unreached"
+	meterRefused   = "forward_refused"
+	meterCrossed   = "forward_crossed"
+	meterBroken    = "forward_broken"
+)
+
+// Meters documents the metrics of the package.
+var Meters = []hbs.Meter{
+	{Name: meterSent, Kind: hbs.MeterCounter, Unit: hbs.UnitCount, Title: "requests sent to endpoints", Action: "None; compare with requests to see retries."},
+	{Name: meterUnreached, Kind: hbs.MeterCounter, Unit: hbs.UnitCount, Title: "attempts that sent nothing", Action: "Look for endpoints that are down or cut off."},
+	{Name: meterRefused, Kind: hbs.MeterCounter, Unit: hbs.UnitCount, Title: "attempts that the endpoint did not run", Action: "Full endpoints, or ones that change their weights."},
+	{Name: meterCrossed, Kind: hbs.MeterCounter, Unit: hbs.UnitCount, Title: "answers dropped because they belong to another request or have no receipt", Action: "Look at the endpoint; the answers were not delivered."},
+	{Name: meterBroken, Kind: hbs.MeterCounter, Unit: hbs.UnitCount, Title: "connections that broke before the answer was whole", Action: "Look for crashing endpoints and lossy links."},
+}
--- /dev/null
+++ b/gateway/feeds.go
@@ -0,0 +1,89 @@
+package gateway
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	hbs "github.com/hornbeamstage/hornbeamstage"
+	"github.com/hornbeamstage/hornbeamstage/platform"
+)
+
+// configFeed keeps the table of routes.
+type configFeed struct{ *Gateway }
+
+func (f *configFeed) replace(objs []hbs.Object) {
+	for i := range objs {
+		f.take(&objs[i])
+	}
+}
+
+func (f *configFeed) change(ev hbs.WatchEvent) {
+	if !ev.Deleted {
+		f.take(&ev.Object)
+	}
+}
+
+// take adopts a newer table. One that can't be decoded leaves the old in force.
+func (f *configFeed) take(obj *hbs.Object) {
+	if obj.Name != platform.ConfigName {
+		return
+	}
+	t, err := platform.DecodeRoutes(obj.Value)
+	if err != nil {
+		f.Log.Error("route table not adopted", zap.Uint64("revision", uint64(obj.Revision)), zap.Error(err))
+		return
+	}
+	if f.table.adopt(t) {
+		f.Log.Info("route table adopted", zap.Int64("version", int64(t.Version)), zap.Uint64("revision", uint64(obj.Revision)),
+			zap.Int("routes", len(t.Routes)))
+	}
+}
+
+func (f *configFeed) current(asOf time.Time) { f.table.confirm(asOf) }
+
+func (f *configFeed) returned() {}
+
+// serverFeed keeps the roster of endpoints.
+type serverFeed struct{ *Gateway }
+
+func (f *serverFeed) replace(objs []hbs.Object) {
+	var all []hbs.Endpoint
+	for i := range objs {
+		if e, ok := f.decode(&objs[i]); ok {
+			all = append(all, e)
+		}
+	}
+	f.directory.Replace(all)
+}
+
+func (f *serverFeed) change(ev hbs.WatchEvent) {
+	id := hbs.EndpointID(ev.Object.Name)
+	if ev.Deleted {
+		f.directory.Remove(id)
+		f.Log.Info("endpoint removed", zap.String("endpoint", string(id)), zap.Uint64("revision", uint64(ev.Object.Revision)))
+		return
+	}
+	e, ok := f.decode(&ev.Object)
+	if !ok {
+		f.directory.Remove(id)
+		return
+	}
+	f.directory.Put(e)
+	f.Log.Info("endpoint recorded", zap.String("endpoint", string(id)), zap.String("state", string(e.State)),
+		zap.String("weights", string(e.Weights)), zap.Uint64("revision", uint64(e.Revision)))
+}
+
+func (f *serverFeed) decode(obj *hbs.Object) (hbs.Endpoint, bool) {
+	e, err := platform.DecodeServer(obj.Name, obj.Value, f.Boot.Regions)
+	if err != nil {
+		f.Log.Warn("record names no endpoint", zap.Uint64("revision", uint64(obj.Revision)), zap.Error(err))
+		return e, false
+	}
+	e.Revision = obj.Revision
+	return e, true
+}
+
+func (f *serverFeed) current(time.Time) {}
+
+func (f *serverFeed) returned() { f.directory.Returned() }
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,269 @@
+// Package gateway runs an instance on a hosting platform: one that keeps the
+// routes, the workspaces' keys and the records of endpoints in its store, and
+// whose callers and endpoints speak HTTP of their own.
+//
+// The store is the only thing that instances share. An instance follows it with
+// one watch for each kind and decides by itself on what it has read.
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sourcegraph/conc/pool"
+	"go.uber.org/zap"
+
+	hbs "github.com/hornbeamstage/hornbeamstage"
+	"github.com/hornbeamstage/hornbeamstage/delay"
+	"github.com/hornbeamstage/hornbeamstage/dispatch"
+	"github.com/hornbeamstage/hornbeamstage/forward"
+	"github.com/hornbeamstage/hornbeamstage/hedge"
+	"github.com/hornbeamstage/hornbeamstage/knob"
+	"github.com/hornbeamstage/hornbeamstage/placement"
+	"github.com/hornbeamstage/hornbeamstage/platform"
+	"github.com/hornbeamstage/hornbeamstage/retry"
+	"github.com/hornbeamstage/hornbeamstage/roster"
+)
+
+const (
+	// callTimeout bounds one call of the store.
+	callTimeout = time.Second
+	// watchWait is how long the store holds a watch without news. An instance
+	// knows that it is up to date as of the last answer, so it is well below the
+	// time within which keys are revoked.
+	watchWait = 2 * time.Second
+	// returnTime is how long records of endpoints may be missing after the store
+	// is back.
+	returnTime = 2 * time.Second
+	// rateShare is the part of the store's rates that one instance may use.
+	rateShare = 0.1
+	// memoryShare is the part of the memory up to which the heap may grow before
+	// it is collected harder.
+	memoryShare = 0.7
+	// retryShare is the part of the deployment's retries that are planned with.
+	// The rest is for what instances can't know of each other.
+	retryShare = 0.5
+	// retryBurst is how many retries an instance may make at once.
+	retryBurst = 4
+	// belowRotation is the time after the signal to stop within which the platform
+	// may still send new connections.
+	belowRotation = 3 * time.Second
+	// graceShare is the part of the grace time that running requests get.
+	graceShare = 0.95
+)
+
+// Gateway is one instance. Its exported fields are set before Run.
+type Gateway struct {
+	Boot    *platform.Boot
+	Network hbs.Network
+	Log     *zap.Logger
+	Metrics metrics.Registry
+	// Knobs and Meters are the tables of all parts.
+	Knobs  []hbs.Knob
+	Meters []hbs.Meter
+	// Seed makes jitter and ties repeatable; 0 draws one.
+	Seed uint64
+	// Suspended returns for how long the machine has been suspended in all; nil is
+	// that of the operating system.
+	Suspended func() time.Duration
+
+	once    sync.Once
+	stop    chan struct{}
+	stopped sync.Once
+
+	policy     hbs.Policy
+	store      *platform.Client
+	directory  *roster.Directory
+	table      *tables
+	dispatcher *dispatch.Dispatcher
+	fleet      *placement.Fleet
+	handler    *handler
+}
+
+func (g *Gateway) init() {
+	g.once.Do(func() {
+		g.stop = make(chan struct{})
+		if g.Seed == 0 {
+			g.Seed = rand.Uint64()
+		}
+		if g.Suspended == nil {
+			g.Suspended = suspended
+		}
+		if g.Boot.MemoryBytes > 0 {
+			debug.SetMemoryLimit(int64(memoryShare * float64(g.Boot.MemoryBytes)))
+		}
+		g.assemble()
+	})
+}
+
+// Stop begins a graceful stop. It does not block.
+func (g *Gateway) Stop() {
+	g.init()
+	g.stopped.Do(func() { close(g.stop) })
+}
+
+func (g *Gateway) stopping() bool {
+	select {
+	case <-g.stop:
+		return true
+	default:
+		return false
+	}
+}
+
+// assemble builds the parts in the order in which they need each other.
+func (g *Gateway) assemble() {
+	b := g.Boot
+	g.policy = knob.NewFixed(g.Knobs).
+		With(hedge.KnobOn, 0).
+		With(retry.KnobShare, retryShare*b.Bounds.RetryRatio).
+		With(retry.KnobBurst, retryBurst)
+	self := hbs.Instance{
+		ID: b.Instance, Domain: b.Domain, Region: b.Region, State: hbs.InstanceLive,
+		CallerAddress: b.Callers, PeerAddress: b.Callers,
+	}
+	g.store = &platform.Client{
+		Address: b.Store, Network: g.Network, Timeout: callTimeout, Form: b.Form, WatchWait: watchWait,
+		ReadsPerSecond: rateShare * b.ReadsPerSecond, WritesPerSecond: rateShare * b.WritesPerSecond,
+		Policy: g.policy, Metrics: g.Metrics,
+	}
+	g.directory = &roster.Directory{Self: self, ReturnTime: returnTime}
+	g.table = &tables{Suspended: g.Suspended}
+	g.fleet = &placement.Fleet{
+		Directory: g.directory, Policy: g.policy, Self: self, Network: g.Network, Metrics: g.Metrics,
+		Seed: g.Seed, Log: g.Log.Named("placement"), Scope: placement.ScopeRegion,
+	}
+	sender := &forward.Sender{
+		Network: g.Network, Policy: g.policy, Metrics: g.Metrics,
+		Misplaced: func(e *hbs.Endpoint, a *platform.Answer) { g.directory.Misplaced(e.ID, e.Weights, a.Weights) },
+	}
+	g.dispatcher = &dispatch.Dispatcher{
+		Placer: g.fleet, Directory: g.directory, Policy: g.policy, Network: g.Network,
+		Metrics: g.Metrics, Log: g.Log.Named("dispatch"), Sender: sender,
+	}
+	g.handler = &handler{
+		table: g.table, directory: g.directory, dispatcher: g.dispatcher, bounds: &b.Bounds,
+		metrics: g.Metrics, log: g.Log.Named("request"), stopping: g.stopping,
+	}
+}
+
+// Run serves until Stop or until ctx ends, which cuts running requests.
+func (g *Gateway) Run(ctx context.Context) (err error) {
+	defer func() { err = errors.Wrapf(err, "instance %s", g.Boot.Instance) }()
+	g.init()
+	g.Log.Info("instance starts", zap.Stringer("callers", g.Boot.Callers), zap.String("domain", string(g.Boot.Domain)),
+		zap.Stringer("store", g.Boot.Store))
+	duties, cancel := context.WithCancel(ctx)
+	defer cancel()
+	work := pool.New().WithContext(duties).WithCancelOnError().WithFirstError()
+	for _, run := range g.duties() {
+		work.Go(run)
+	}
+	work.Go(func(ctx context.Context) error {
+		defer cancel()
+		return g.serve(ctx)
+	})
+	err = work.Wait()
+	if g.stopping() && ctx.Err() == nil && errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+func (g *Gateway) duties() []func(context.Context) error {
+	return []func(context.Context) error{
+		g.store.Run,
+		g.dispatcher.Run,
+		g.fleet.Run,
+		g.follower(platform.KindConfig, &configFeed{g}).Run,
+		g.follower(platform.KindServers, &serverFeed{g}).Run,
+		g.expire,
+	}
+}
+
+func (g *Gateway) follower(kind hbs.ObjectKind, feed feed) *follower {
+	return &follower{platform: g.store, kind: kind, feed: feed, log: g.Log.Named("store")}
+}
+
+// expireEvery is the time between two looks for records that did not come back.
+const expireEvery = 250 * time.Millisecond
+
+func (g *Gateway) expire(ctx context.Context) error {
+	for {
+		if err := delay.For(ctx, expireEvery); err != nil {
+			return err
+		}
+		g.directory.Expire()
+	}
+}
+
+// serve listens for callers and for the platform's question whether the instance
+// is ready, until a stop has been carried out.
+func (g *Gateway) serve(ctx context.Context) error {
+	callers, err := g.listen("callers", g.Boot.Callers, g.handler)
+	if err != nil {
+		return err
+	}
+	readiness, err := g.listen("readiness", g.Boot.Readiness, g.operatorRoutes())
+	if err != nil {
+		callers.close()
+		return err
+	}
+	servers := pool.New().WithContext(ctx).WithCancelOnError().WithFirstError()
+	servers.Go(callers.run)
+	servers.Go(readiness.run)
+	servers.Go(func(ctx context.Context) error { return g.stopDuty(ctx, callers, readiness) })
+	return servers.Wait()
+}
+
+// stopDuty carries out a graceful stop: go unready, serve until no new
+// connections come, let running requests end.
+func (g *Gateway) stopDuty(ctx context.Context, callers, readiness *server) error {
+	select {
+	case <-g.stop:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	g.Log.Info("instance stops")
+	grace := time.Duration(graceShare * float64(g.Boot.Bounds.Grace))
+	last := time.Now().Add(grace)
+	if err := delay.For(ctx, min(belowRotation, grace)); err != nil {
+		return err
+	}
+	err := callers.drain(ctx, time.Until(last))
+	readiness.close()
+	if err != nil {
+		return errors.Wrap(err, "requests were cut at the end of the grace time")
+	}
+	g.Log.Info("instance stopped")
+	return nil
+}
+
+// ready tells whether callers should be sent here.
+func (g *Gateway) ready() (ok bool, why string) {
+	switch {
+	case g.stopping():
+		return false, "stopping"
+	case g.table.now() == nil:
+		return false, "no routes"
+	case len(g.directory.Roster().Endpoints) == 0:
+		return false, "no endpoints"
+	}
+	return true, "ready"
+}
+
+func (g *Gateway) writeReady(w http.ResponseWriter) {
+	ok, why := g.ready()
+	if !ok {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	if _, err := w.Write([]byte(why + "\n")); err != nil {
+		g.Log.Debug("readiness not told", zap.Error(err))
+	}
+}
--- a/meter.go
+++ b/meter.go
@@ -20,3 +20,17 @@
 	// Title is a phrase; Action tells an operator what to do when it grows.
 	Title, Action string
 }
+
+// OutcomeMeters returns a counter for each outcome and each reason.
+func OutcomeMeters(outcomePrefix, reasonPrefix string) []Meter {
+	var meters []Meter
+	for _, o := range []Outcome{OutcomeAnswered, OutcomeNotRun, OutcomeUnknown, OutcomeFailed} {
+		meters = append(meters, Meter{Name: outcomePrefix + string(o), Kind: MeterCounter, Unit: UnitCount,
+			Title: "Requests with the outcome " + string(o), Action: "Look at the reason counters."})
+	}
+	for _, info := range Reasons {
+		meters = append(meters, Meter{Name: reasonPrefix + string(info.Reason), Kind: MeterCounter, Unit: UnitCount,
+			Title: "Requests refused or failed: " + info.Title, Action: info.Text})
+	}
+	return meters
+}
--- a/placement/cost.go
+++ b/placement/cost.go
@@ -152,7 +152,7 @@
 	b.load.Started = now
 	b.load.Expected = first
 	b.load.Favoured = req.Favoured
-	if req.Service == "" {
+	if req.Model != "" {
 		b.load.Prefill = max(1, int(miss))
 	}
 	b.queued = m.wait / (g.rates.perToken * m.score.Slowness())
--- a/placement/group.go
+++ b/placement/group.go
@@ -14,10 +14,7 @@
 }
 
 func keyOf(req *hbs.Request) groupKey {
-	if req.Service != "" {
-		return groupKey{service: req.Service}
-	}
-	return groupKey{model: req.Model}
+	return groupKey{model: req.Model, service: req.Service}
 }
 
 // group is what is known of the endpoints of one model or service.
--- a/placement/usable.go
+++ b/placement/usable.go
@@ -11,8 +11,11 @@
 	if e.State != hbs.StateLive {
 		return false
 	}
-	if req.Service != "" {
-		return e.Kind == hbs.KindService && e.Service == req.Service
+	if e.Service != req.Service {
+		return false
+	}
+	if req.Model == "" {
+		return e.Kind == hbs.KindService
 	}
 	return e.Serves(req.Model, req.Adapter) && weightsAgree(e.Weights, req.Weights)
 }
--- a/platform.go
+++ b/platform.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 )
 
 // ObjectKind is a kind of object that the platform keeps for the system.
@@ -44,6 +45,9 @@
 	Object  Object
 	// Bookmark events carry only Object.Revision.
 	Bookmark bool
+	// AsOf is when everything up to this event was the newest state, by the local
+	// clock. It is zero where the platform does not tell.
+	AsOf time.Time
 }
 
 // Page is a part of a listing.
--- a/request.go
+++ b/request.go
@@ -49,7 +49,8 @@
 	// when there is none.
 	Arrived, Deadline time.Time
 
-	// Model and Adapter are set for model requests, Service for plain ones.
+	// Model and Adapter are set for model requests, Service for plain ones. Where
+	// engines stand in named pools both are set: Service is the pool then.
 	Model   ModelName
 	Adapter AdapterName
 	Weights WeightsVersion
@@ -64,10 +65,19 @@
 	// Stream tells whether the caller wants the answer as events.
 	Stream bool
 
+	// CacheScope keeps cached prefixes of requests with different values apart on
+	// engines that are told of it; empty is shared.
+	CacheScope string
+	// Attempts is the number of endpoints that the request may be sent to; 0 leaves
+	// it to the knobs.
+	Attempts int
+
 	// Favoured is set by admission on its own copy: the endpoint serves the request
 	// before those that are not.
 	Favoured bool
 
+	// Host is the caller's, where endpoints get it unchanged.
+	Host string
 	// Method, Path and Header are what the endpoint gets, without the router's
 	// own headers. Path starts with "/" and includes the query.
 	Method, Path string
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -3,7 +3,8 @@
 // Rules:
 //
 //  1. Nothing is retried after the first byte of the answer reached the
-//     caller, nor after the caller left or the deadline passed.
+//     caller, but for a stream that another endpoint can go on with after its
+//     last event, nor after the caller left or the deadline passed.
 //  2. Work that was certainly not run (no connection was made, or the engine
 //     said so) may be tried elsewhere whatever its class, because it did no
 //     work; a once request only when it was never sent. It costs no budget,
@@ -62,9 +63,9 @@
 func (p *Policy) Allow(req *hbs.Request, res *attempt.Result, tries int) bool {
 	scope := ScopeOf(req)
 	switch {
-	case res.Sent, res.End == hbs.EndComplete, res.End == hbs.EndCanceled: // rule 1
+	case res.Sent && res.LastEvent == "", res.End == hbs.EndComplete, res.End == hbs.EndCanceled: // rule 1
 		return false
-	case tries >= int(p.Knobs.Number(KnobAttempts, scope)): // rule 5
+	case tries >= p.limit(req, scope): // rule 5
 		return false
 	case notRun(req, res): // rule 2
 		p.count("retry_moved")
@@ -79,6 +80,14 @@
 	return true
 }
 
+// limit returns the number of attempts that req may have.
+func (p *Policy) limit(req *hbs.Request, scope hbs.Scope) int {
+	if req.Attempts > 0 {
+		return req.Attempts
+	}
+	return int(p.Knobs.Number(KnobAttempts, scope))
+}
+
 // notRun applies rule 2.
 func notRun(req *hbs.Request, res *attempt.Result) bool {
 	if r := res.Refusal; res.End == hbs.EndUnreached {
--- a/router/command.go
+++ b/router/command.go
@@ -7,8 +7,12 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
 
+	"github.com/hornbeamstage/hornbeamstage/catalog"
+	"github.com/hornbeamstage/hornbeamstage/gateway"
 	"github.com/hornbeamstage/hornbeamstage/network"
+	"github.com/hornbeamstage/hornbeamstage/platform"
 	"github.com/hornbeamstage/hornbeamstage/settings"
 )
 
@@ -21,6 +25,9 @@
 	ExitUsage = 2
 )
 
+// hosted reports whether a hosting platform's settings are to be used.
+func (c *Command) hosted() bool { return c.Settings == "" && c.Boot != "" }
+
 // Help is the long text of hornbeamstage --help.
 const Help = `Routes language-model traffic from callers to endpoints. All instances run
 this program alike; settings say where the instance listens and which failure
@@ -34,39 +41,75 @@
 
 // Command is the command line of hornbeamstage.
 type Command struct {
-	Settings string `long:"settings" value-name:"FILE" required:"true" description:"settings file of this instance, TOML"`
+	Settings string `long:"settings" value-name:"FILE" description:"settings file of this instance, TOML"`
+	Boot     string `long:"platform-settings" value-name:"FILE" env:"HORNBEAMSTAGE_BOOT" description:"settings file that a hosting platform writes, JSON; used without --settings"`
 	Check    bool   `long:"check" description:"check the settings and exit"`
 }
 
+// process is an instance of either kind.
+type process interface {
+	Run(ctx context.Context) error
+	Stop()
+}
+
 // Run runs the router until a stop signal or an error.
 func (c *Command) Run(ctx context.Context, stops <-chan os.Signal) (code int, err error) {
-	s, err := settings.Read(c.Settings)
+	build := c.router
+	if c.hosted() {
+		build = c.gateway
+	}
+	p, log, err := build()
 	if err != nil {
 		return ExitUsage, err
 	}
 	if c.Check {
 		return ExitOK, nil
 	}
-	log, err := newLogger(&s)
-	if err != nil {
-		return ExitUsage, err
-	}
 	// Sync fails on terminals, where nothing is buffered.
 	defer func() { _ = log.Sync() }()
-	r := &Router{
-		Settings: s,
-		Network:  network.TCP{},
-		Log:      log,
-		Metrics:  metrics.NewRegistry(),
-	}
-	if err := runUntil(ctx, r, stops); err != nil {
+	if err := runUntil(ctx, p, stops); err != nil {
+		log.Error("instance failed", zap.Error(err))
 		return ExitFailed, err
 	}
 	return ExitOK, nil
 }
 
+// router returns an instance with settings of its own.
+func (c *Command) router() (process, *zap.Logger, error) {
+	if c.Settings == "" {
+		return nil, nil, errors.New("neither --settings nor --platform-settings is given")
+	}
+	s, err := settings.Read(c.Settings)
+	if err != nil {
+		return nil, nil, err
+	}
+	log, err := newLogger(&s)
+	if err != nil {
+		return nil, nil, err
+	}
+	return &Router{Settings: s, Network: network.TCP{}, Log: log, Metrics: metrics.NewRegistry()}, log, nil
+}
+
+// gateway returns an instance with a hosting platform's settings.
+func (c *Command) gateway() (process, *zap.Logger, error) {
+	b, err := platform.ReadBoot(c.Boot)
+	if err != nil {
+		return nil, nil, err
+	}
+	s := settings.Defaults()
+	s.Instance.ID = b.Instance
+	log, err := newLogger(&s)
+	if err != nil {
+		return nil, nil, err
+	}
+	return &gateway.Gateway{
+		Boot: b, Network: network.TCP{}, Log: log, Metrics: metrics.NewRegistry(),
+		Knobs: catalog.Knobs(), Meters: catalog.Meters(),
+	}, log, nil
+}
+
 // runUntil stops r gracefully at the first signal and at once at the second.
-func runUntil(ctx context.Context, r *Router, stops <-chan os.Signal) (err error) {
+func runUntil(ctx context.Context, r process, stops <-chan os.Signal) (err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	var wg conc.WaitGroup
 	defer wg.Wait()
