converge: order the weights that the platform names

Cause: on a hosting platform engines stay on the weights they have until they are ordered; requests may not begin on old ones for long.

Change: the holder of one lease for the fleet reads each lagging engine's report and orders the newest version, oldest weights first, a third of the engines at once. Engines that should have changed get no new work. Admission learns the time of a token from sums instead of a mean of quotients.

--- a/admission/pace.go
+++ b/admission/pace.go
@@ -38,8 +38,10 @@
 	// cost and busy are decaying means over ended attempts; their quotient is the
 	// work that one attempt does in a second.
 	cost, busy float64
-	// token is the decaying mean time of one output token, in seconds.
-	token float64
+	// tokens and decoding are decaying means over answers: the output tokens after
+	// the first, and the time in seconds that they took. Their quotient is the time
+	// of one token; a mean of quotients would count short answers as much as long.
+	tokens, decoding float64
 	// delays is by how many seconds the time to the first token exceeds its
 	// prediction, by engine priority: what the Placer can't know of engines that
 	// order their queues.
@@ -90,7 +92,10 @@
 
 // decode predicts the time from the first token to the last.
 func (p *pace) decode(req *hbs.Request, ratio float64) time.Duration {
-	return seconds(float64(req.ExpectedTokens) * ratio * p.token)
+	if p.tokens == 0 {
+		return 0
+	}
+	return seconds(float64(req.ExpectedTokens) * ratio * p.decoding / p.tokens)
 }
 
 func (p *pace) learn(cost float64, r hbs.AttemptResult) {
@@ -105,11 +110,12 @@
 	if r.OutputTokens < 2 || r.FirstToken <= 0 {
 		return
 	}
-	token := (r.Duration - r.FirstToken).Seconds() / float64(r.OutputTokens-1)
-	if p.token == 0 {
-		p.token = token
+	tokens, decoding := float64(r.OutputTokens-1), (r.Duration - r.FirstToken).Seconds()
+	if p.tokens == 0 {
+		p.tokens, p.decoding = tokens, decoding
 	}
-	p.token += paceRate * (token - p.token)
+	p.tokens += paceRate * (tokens - p.tokens)
+	p.decoding += paceRate * (decoding - p.decoding)
 }
 
 // learn moves the flow's ratio of counted to expected tokens.
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -10,6 +10,7 @@
 	"github.com/hornbeamstage/hornbeamstage/attempt"
 	"github.com/hornbeamstage/hornbeamstage/claim"
 	"github.com/hornbeamstage/hornbeamstage/config"
+	"github.com/hornbeamstage/hornbeamstage/converge"
 	"github.com/hornbeamstage/hornbeamstage/entry"
 	"github.com/hornbeamstage/hornbeamstage/forward"
 	"github.com/hornbeamstage/hornbeamstage/gateway"
@@ -56,6 +57,7 @@
 		attempt.Meters,
 		claim.Meters,
 		config.Meters,
+		converge.Meters,
 		entry.Meters,
 		forward.Meters,
 		gateway.Meters,
--- a/gateway/feeds.go
+++ b/gateway/feeds.go
@@ -87,3 +87,33 @@
 func (f *serverFeed) current(time.Time) {}
 
 func (f *serverFeed) returned() { f.directory.Returned() }
+
+// versionFeed keeps the versions of weights that are named.
+type versionFeed struct{ *Gateway }
+
+func (f *versionFeed) replace(objs []hbs.Object) {
+	for i := range objs {
+		f.take(&objs[i])
+	}
+}
+
+func (f *versionFeed) change(ev hbs.WatchEvent) {
+	if !ev.Deleted {
+		f.take(&ev.Object)
+	}
+}
+
+func (f *versionFeed) take(obj *hbs.Object) {
+	n, err := platform.DecodeNamedWeights(obj.Value)
+	if err != nil {
+		f.Log.Error("named weights not taken", zap.Uint64("revision", uint64(obj.Revision)), zap.Error(err))
+		return
+	}
+	if f.versions.name(n) {
+		f.Log.Info("weights named", zap.String("model", string(n.Model)), zap.Int64("version", n.Version), zap.Uint64("revision", uint64(obj.Revision)))
+	}
+}
+
+func (f *versionFeed) current(time.Time) {}
+
+func (f *versionFeed) returned() {}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,11 +20,13 @@
 	"go.uber.org/zap"
 
 	hbs "github.com/hornbeamstage/hornbeamstage"
+	"github.com/hornbeamstage/hornbeamstage/converge"
 	"github.com/hornbeamstage/hornbeamstage/delay"
 	"github.com/hornbeamstage/hornbeamstage/dispatch"
 	"github.com/hornbeamstage/hornbeamstage/forward"
 	"github.com/hornbeamstage/hornbeamstage/hedge"
 	"github.com/hornbeamstage/hornbeamstage/knob"
+	"github.com/hornbeamstage/hornbeamstage/lease"
 	"github.com/hornbeamstage/hornbeamstage/placement"
 	"github.com/hornbeamstage/hornbeamstage/platform"
 	"github.com/hornbeamstage/hornbeamstage/retry"
@@ -51,6 +53,11 @@
 	retryShare = 0.5
 	// retryBurst is how many retries an instance may make at once.
 	retryBurst = 4
+	// leaseTime, leaseRenew and leaseMargin are those of the one lease under which
+	// engines get orders. They are short, as engines have to follow within seconds.
+	leaseTime   = 3 * time.Second
+	leaseRenew  = 900 * time.Millisecond
+	leaseMargin = time.Second
 	// belowRotation is the time after the signal to stop within which the platform
 	// may still send new connections.
 	belowRotation = 3 * time.Second
@@ -81,8 +88,11 @@
 	store      *platform.Client
 	directory  *roster.Directory
 	table      *tables
+	versions   *versions
 	dispatcher *dispatch.Dispatcher
 	fleet      *placement.Fleet
+	lease      *lease.Keeper
+	controller *converge.Controller
 	handler    *handler
 }
 
@@ -123,7 +133,11 @@
 	g.policy = knob.NewFixed(g.Knobs).
 		With(hedge.KnobOn, 0).
 		With(retry.KnobShare, retryShare*b.Bounds.RetryRatio).
-		With(retry.KnobBurst, retryBurst)
+		With(retry.KnobBurst, retryBurst).
+		With(lease.KnobDuration, leaseTime.Seconds()).
+		With(lease.KnobRenew, leaseRenew.Seconds()).
+		With(lease.KnobMargin, leaseMargin.Seconds()).
+		With(lease.KnobOrderLifetime, max(b.Bounds.LeaseTime, leaseTime).Seconds())
 	self := hbs.Instance{
 		ID: b.Instance, Domain: b.Domain, Region: b.Region, State: hbs.InstanceLive,
 		CallerAddress: b.Callers, PeerAddress: b.Callers,
@@ -133,7 +147,8 @@
 		ReadsPerSecond: rateShare * b.ReadsPerSecond, WritesPerSecond: rateShare * b.WritesPerSecond,
 		Policy: g.policy, Metrics: g.Metrics,
 	}
-	g.directory = &roster.Directory{Self: self, ReturnTime: returnTime}
+	g.versions = &versions{Converge: b.Bounds.ConvergeTime}
+	g.directory = &roster.Directory{Self: self, ReturnTime: returnTime, TooOld: g.versions.tooOld}
 	g.table = &tables{Suspended: g.Suspended}
 	g.fleet = &placement.Fleet{
 		Directory: g.directory, Policy: g.policy, Self: self, Network: g.Network, Metrics: g.Metrics,
@@ -147,6 +162,16 @@
 		Placer: g.fleet, Directory: g.directory, Policy: g.policy, Network: g.Network,
 		Metrics: g.Metrics, Log: g.Log.Named("dispatch"), Sender: sender,
 	}
+	// One lease serves the fleet, whatever the failure domain of its holder.
+	holder := self
+	holder.Domain = "fleet"
+	g.lease = &lease.Keeper{
+		Platform: g.store, Self: holder, Directory: g.directory, Policy: g.policy, Metrics: g.Metrics, Log: g.Log.Named("lease"),
+	}
+	g.controller = &converge.Controller{
+		Self: self.ID, Lease: g.lease, Directory: g.directory, Network: g.Network, Metrics: g.Metrics,
+		Log: g.Log.Named("converge"), Wanted: g.versions.wanted, Suspended: g.Suspended,
+	}
 	g.handler = &handler{
 		table: g.table, directory: g.directory, dispatcher: g.dispatcher, bounds: &b.Bounds,
 		metrics: g.Metrics, log: g.Log.Named("request"), stopping: g.stopping,
@@ -183,6 +208,9 @@
 		g.fleet.Run,
 		g.follower(platform.KindConfig, &configFeed{g}).Run,
 		g.follower(platform.KindServers, &serverFeed{g}).Run,
+		g.follower(platform.KindVersions, &versionFeed{g}).Run,
+		g.lease.Run,
+		g.controller.Run,
 		g.expire,
 	}
 }
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -178,6 +178,10 @@
 	return ok
 }
 
+// Abandon ends the grant at once, as when the process can't tell for how long it
+// stood still. The lease comes back by L3 only.
+func (k *Keeper) Abandon() { k.drop() }
+
 func (k *Keeper) drop() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/order/order.go
+++ b/order/order.go
@@ -30,12 +30,9 @@
 package order
 
 import (
-	"bytes"
 	"context"
 	"crypto/rand"
 	"encoding/json"
-	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -77,9 +74,6 @@
 	ErrExpired = errors.New("order expired on the way")
 )
 
-// maxStateBytes bounds what is read of an engine's answer.
-const maxStateBytes = 1 << 20
-
 // Order is the body of POST /orders.
 type Order struct {
 	ID string `json:"order_id"`
@@ -206,38 +200,21 @@
 	defer func() { err = errors.Wrapf(err, "state of %s", e.ID) }()
 	ctx, cancel := context.WithTimeout(ctx, g.Policy.Duration(KnobTimeout, hbs.Scope{Domain: e.Domain}))
 	defer cancel()
-	data, err := g.call(ctx, e.Address, http.MethodGet, "/state", nil, unchecked)
+	data, err := g.call(ctx, e.Address, http.MethodGet, "/state", nil, Unguarded)
 	if err != nil {
 		return State{}, err
 	}
 	return s, json.Unmarshal(data, &s)
 }
 
-// call makes one request on a connection of its own, so that nothing is sent
-// again behind the check.
-func (g *Giver) call(ctx context.Context, addr netip.AddrPort, method, path string, body []byte, guard func(write func() (int, error)) (int, error)) ([]byte, error) {
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr.String()+path, bytes.NewReader(body))
+// call makes one request of this package's own protocol.
+func (g *Giver) call(ctx context.Context, addr netip.AddrPort, method, path string, body []byte, guard Guard) ([]byte, error) {
+	c := Call{Network: g.Network, Address: addr, Method: method, Path: path, Body: body, Guard: guard}
+	status, data, err := c.Do(ctx)
 	if err != nil {
 		return nil, err
 	}
-	req.Header.Set("Content-Type", "application/json")
-	transport := &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
-		conn, err := g.Network.Dial(ctx, addr)
-		if err != nil {
-			return nil, err
-		}
-		return &guardedConn{Conn: conn, guard: guard}, nil
-	}}
-	resp, err := transport.RoundTrip(req)
-	if err != nil {
-		return nil, err
-	}
-	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxStateBytes))
-	if err != nil {
-		return nil, err
-	}
-	return data, verdict(resp.StatusCode)
+	return data, verdict(status)
 }
 
 // statusError is an answer other than 200 that has no error of its own.
@@ -264,17 +241,4 @@
 	return err == nil || errors.Is(err, ErrStale) || errors.Is(err, ErrExpired) || errors.As(err, &status)
 }
 
-func unchecked(write func() (int, error)) (int, error) { return write() }
-
-// guardedConn writes under a guard (O2, L7).
-type guardedConn struct {
-	net.Conn
-	guard func(write func() (int, error)) (int, error)
-}
-
-// Write implements net.Conn.
-func (c *guardedConn) Write(p []byte) (int, error) {
-	return c.guard(func() (int, error) { return c.Conn.Write(p) })
-}
-
 func (g *Giver) inc(meter string) { metrics.GetOrRegisterCounter(meter, g.Metrics).Inc(1) }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -13,9 +13,12 @@
 //  4. What an endpoint says in-band goes before an older record: an endpoint with
 //     other weights than its record gets no work that names weights until the
 //     record changes.
+//  5. Engines with weights that are too old get no new work, unless no engine of
+//     their model has newer ones.
 package roster
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -30,6 +33,9 @@
 	Self hbs.Instance
 	// ReturnTime is how long records may be missing after the platform is back.
 	ReturnTime time.Duration
+	// TooOld reports whether an engine's weights are too old for new work (rule 5);
+	// nil if none are.
+	TooOld func(*hbs.Endpoint) bool
 
 	once sync.Once
 
@@ -37,6 +43,8 @@
 	// records are the endpoints by id, missing those whose record lapsed (rule 3).
 	records map[hbs.EndpointID]hbs.Endpoint
 	missing map[hbs.EndpointID]time.Time
+	// old are the engines that are too old in roster.
+	old map[hbs.EndpointID]bool
 	// backAt is when the platform was last reached again after an absence.
 	backAt  time.Time
 	roster  *hbs.Roster
@@ -134,7 +142,8 @@
 	d.backAt = time.Now()
 }
 
-// Expire drops the endpoints whose records did not come back in time (rule 3).
+// Expire applies the rules that hang on time: it drops the endpoints whose
+// records did not come back (rule 3) and looks for old weights anew (rule 5).
 func (d *Directory) Expire() {
 	d.init()
 	d.mu.Lock()
@@ -148,11 +157,36 @@
 			dropped = true
 		}
 	}
-	if dropped {
+	if dropped || !maps.Equal(d.old, d.tooOld()) {
 		d.publish()
 	}
 }
 
+// tooOld applies rule 5. The caller holds mu.
+func (d *Directory) tooOld() map[hbs.EndpointID]bool {
+	old := map[hbs.EndpointID]bool{}
+	if d.TooOld == nil {
+		return old
+	}
+	newer := map[hbs.ModelName]bool{}
+	for id, e := range d.records {
+		if e.Kind != hbs.KindEngine || e.State != hbs.StateLive {
+			continue
+		}
+		if d.TooOld(&e) {
+			old[id] = true
+		} else {
+			newer[e.Model] = true
+		}
+	}
+	for id := range old {
+		if !newer[d.records[id].Model] {
+			delete(old, id)
+		}
+	}
+	return old
+}
+
 // Misplaced takes the word of an endpoint that it has other weights than its
 // record says (rule 4). The new ones may be empty where they are not known.
 func (d *Directory) Misplaced(id hbs.EndpointID, was, now hbs.WeightsVersion) {
@@ -171,7 +205,11 @@
 // publish makes the records the roster. The caller holds mu.
 func (d *Directory) publish() {
 	r := &hbs.Roster{Instances: []hbs.Instance{d.Self}}
-	for _, e := range d.records {
+	d.old = d.tooOld()
+	for id, e := range d.records {
+		if d.old[id] {
+			e.State = hbs.StateDraining
+		}
 		r.Endpoints = append(r.Endpoints, e)
 	}
 	slices.SortFunc(r.Endpoints, func(a, b hbs.Endpoint) int { return strings.Compare(string(a.ID), string(b.ID)) })
