forward: count an answer's tokens, not its events

Cause: answers were predicted four times too long, so long ones were refused for their deadline.

A refusal's detail tells what its prediction is made of.

--- a/admission/predict.go
+++ b/admission/predict.go
@@ -44,14 +44,16 @@
 	if w.req.Deadline.IsZero() || q.rankOf(w) < rankHeavy {
 		return nil
 	}
-	need := p.FirstToken + seconds(*q.pace.delay(p)) + q.pace.decode(w.req, w.flow.ratio)
+	delay, decode := seconds(*q.pace.delay(p)), q.pace.decode(w.req, w.flow.ratio)
+	need := p.FirstToken + delay + decode
 	if need <= time.Until(w.req.Deadline) {
 		return nil
 	}
 	q.pace.relax(p)
 	q.refused += refusedRate * (1 - q.refused)
 	q.c.count("admission_refused_late", 1)
-	return hbs.NotRun(hbs.ReasonDeadline, fmt.Sprintf("predicted time %s", need.Round(time.Millisecond)), minRetryAfter)
+	return hbs.NotRun(hbs.ReasonDeadline, fmt.Sprintf("predicted time %s: first token %s, delay %s, decoding %s",
+		need.Round(time.Millisecond), p.FirstToken.Round(time.Millisecond), delay.Round(time.Millisecond), decode.Round(time.Millisecond)), minRetryAfter)
 }
 
 // wait predicts how long w waits, itself included (rule 6).
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -47,6 +47,9 @@
 	Network hbs.Network
 	Policy  hbs.Policy
 	Metrics metrics.Registry
+	// EventTokens returns the number of tokens in one event of a service's streams;
+	// nil is 1.
+	EventTokens func(hbs.ServiceName) int
 	// Misplaced is called when an endpoint said that it is not the one that was
 	// meant, or has other weights; may be nil.
 	Misplaced func(e *hbs.Endpoint, a *platform.Answer)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -56,7 +56,7 @@
 
 // endStream ends a stream that the endpoint ended properly.
 func (r *run) endStream(res *http.Response, s *events) {
-	r.result.OutputTokens = s.count
+	r.result.OutputTokens = r.tokens(s.count)
 	// An answer without an event still has to begin.
 	if err := r.start(res); err != nil {
 		r.result.Refusal = &hbs.Refusal{Outcome: hbs.OutcomeUnknown, Reason: hbs.ReasonCanceled}
@@ -68,12 +68,20 @@
 
 // goOn tells where another attempt can go on with a stream that broke.
 func (r *run) goOn(s *events) {
-	r.result.OutputTokens = s.count
+	r.result.OutputTokens = r.tokens(s.count)
 	if r.result.End == hbs.EndBroken && r.result.Sent && r.Request.Class == hbs.ClassRepeatable && s.last > 0 {
 		r.result.LastEvent = strconv.FormatInt(s.last, 10)
 	}
 }
 
+// tokens returns the number of tokens in so many events.
+func (r *run) tokens(events int) int {
+	if r.EventTokens == nil {
+		return events
+	}
+	return events * r.EventTokens(r.Placement.Endpoint.Service)
+}
+
 func lastNumber(after string) int64 {
 	n, err := strconv.ParseInt(after, 10, 64)
 	if err != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -156,7 +156,8 @@
 	}
 	sender := &forward.Sender{
 		Network: g.Network, Policy: g.policy, Metrics: g.Metrics,
-		Misplaced: func(e *hbs.Endpoint, a *platform.Answer) { g.directory.Misplaced(e.ID, e.Weights, a.Weights) },
+		EventTokens: g.table.eventTokens,
+		Misplaced:   func(e *hbs.Endpoint, a *platform.Answer) { g.directory.Misplaced(e.ID, e.Weights, a.Weights) },
 	}
 	g.dispatcher = &dispatch.Dispatcher{
 		Placer: g.fleet, Directory: g.directory, Policy: g.policy, Network: g.Network,
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	hbs "github.com/hornbeamstage/hornbeamstage"
 	"github.com/hornbeamstage/hornbeamstage/route"
 )
 
@@ -54,3 +55,16 @@
 	defer s.mu.Unlock()
 	return time.Since(s.asOf) + total - s.suspended
 }
+
+// eventTokens returns the number of tokens in one event of a service's streams.
+func (s *tables) eventTokens(name hbs.ServiceName) int {
+	t := s.now()
+	if t == nil {
+		return 1
+	}
+	service := t.Service(name)
+	if service == nil {
+		return 1
+	}
+	return max(service.EventTokens, 1)
+}
--- a/route/route.go
+++ b/route/route.go
@@ -70,6 +70,8 @@
 	// CacheTokens is the size of an engine's memory for prompts; 0 for a service
 	// that is not a pool of engines.
 	CacheTokens int
+	// EventTokens is the number of tokens in one event of a stream; 0 when not told.
+	EventTokens int
 	// Store is set for the store of kept KV cache.
 	Store *Store
 }
