retry, gateway: count refused arrivals, and take found versions for old

Moves after an engine shed work cost no budget. 2. An instance that had restarted counted the time from its own start.

Ruled out: for 2, the margin of 2 s; the other instances had stopped using that engine.

Change: attempts after a refusal cost budget where arrivals count. A version that is found at the start may be old; one that comes later was not named before the feed was last current.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -47,6 +47,8 @@
 	Weight func(hbs.WorkspaceID) float64
 	// Sender runs the attempts; nil is an attempt.Sender.
 	Sender attempt.Runner
+	// CountRefused is that of package retry.
+	CountRefused bool
 
 	once      sync.Once
 	admission *admission.Controller
@@ -66,7 +68,7 @@
 		}
 		d.retries = &retry.Policy{
 			Budget: &retry.Budget{Knobs: d.Policy, Share: retry.KnobShare, Burst: retry.KnobBurst},
-			Knobs:  d.Policy, Metrics: d.Metrics,
+			Knobs:  d.Policy, Metrics: d.Metrics, CountRefused: d.CountRefused,
 		}
 		d.hedges = &hedge.Policy{
 			Budget:  &retry.Budget{Knobs: d.Policy, Share: hedge.KnobShare, Burst: hedge.KnobBurst},
--- a/gateway/feeds.go
+++ b/gateway/feeds.go
@@ -89,7 +89,12 @@
 func (f *serverFeed) returned() { f.directory.Returned() }
 
 // versionFeed keeps the versions of weights that are named.
-type versionFeed struct{ *Gateway }
+type versionFeed struct {
+	*Gateway
+	// asOf is when the versions were known to be the newest ones; zero before the
+	// first listing.
+	asOf time.Time
+}
 
 func (f *versionFeed) replace(objs []hbs.Object) {
 	for i := range objs {
@@ -103,17 +108,18 @@
 	}
 }
 
+// take notes a version. It was not named before the feed was last current.
 func (f *versionFeed) take(obj *hbs.Object) {
 	n, err := platform.DecodeNamedWeights(obj.Value)
 	if err != nil {
 		f.Log.Error("named weights not taken", zap.Uint64("revision", uint64(obj.Revision)), zap.Error(err))
 		return
 	}
-	if f.versions.name(n) {
+	if f.versions.name(n, f.asOf) {
 		f.Log.Info("weights named", zap.String("model", string(n.Model)), zap.Int64("version", n.Version), zap.Uint64("revision", uint64(obj.Revision)))
 	}
 }
 
-func (f *versionFeed) current(time.Time) {}
+func (f *versionFeed) current(asOf time.Time) { f.asOf = asOf }
 
 func (f *versionFeed) returned() {}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -50,7 +50,7 @@
 	memoryShare = 0.7
 	// retryShare is the part of the deployment's retries that are planned with.
 	// The rest is for what instances can't know of each other.
-	retryShare = 0.5
+	retryShare = 0.75
 	// retryBurst is how many retries an instance may make at once.
 	retryBurst = 4
 	// leaseTime, leaseRenew and leaseMargin are those of the one lease under which
@@ -161,7 +161,7 @@
 	}
 	g.dispatcher = &dispatch.Dispatcher{
 		Placer: g.fleet, Directory: g.directory, Policy: g.policy, Network: g.Network,
-		Metrics: g.Metrics, Log: g.Log.Named("dispatch"), Sender: sender,
+		Metrics: g.Metrics, Log: g.Log.Named("dispatch"), Sender: sender, CountRefused: true,
 	}
 	// One lease serves the fleet, whatever the failure domain of its holder.
 	holder := self
@@ -209,7 +209,7 @@
 		g.fleet.Run,
 		g.follower(platform.KindConfig, &configFeed{g}).Run,
 		g.follower(platform.KindServers, &serverFeed{g}).Run,
-		g.follower(platform.KindVersions, &versionFeed{g}).Run,
+		g.follower(platform.KindVersions, &versionFeed{Gateway: g}).Run,
 		g.lease.Run,
 		g.controller.Run,
 		g.expire,
--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -17,7 +17,8 @@
 	named map[hbs.ModelName][]naming
 }
 
-// naming is one version and when it became known.
+// naming is one version and a time before which it was not named. That of the
+// versions which an instance finds at its start is zero: they may be old.
 type naming struct {
 	version int64
 	at      time.Time
@@ -27,8 +28,9 @@
 // gets no more work. Requests may wait at an engine before they run.
 const startMargin = 2 * time.Second
 
-// name takes a version, which only grows, and reports whether it is news.
-func (v *versions) name(n platform.NamedWeights) bool {
+// name takes a version, which only grows and was not named before after, and
+// reports whether it is news.
+func (v *versions) name(n platform.NamedWeights, after time.Time) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.named == nil {
@@ -37,7 +39,7 @@
 	if n.Version <= v.newest(n.Model) {
 		return false
 	}
-	v.named[n.Model] = append(v.due(n.Model), naming{n.Version, time.Now()})
+	v.named[n.Model] = append(v.due(n.Model), naming{n.Version, after})
 	return true
 }
 
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -8,7 +8,7 @@
 //  2. Work that was certainly not run (no connection was made, or the engine
 //     said so) may be tried elsewhere whatever its class, because it did no
 //     work; a once request only when it was never sent. It costs no budget,
-//     since nothing runs twice.
+//     since nothing runs twice, unless CountRefused is set and it was sent.
 //  3. Work that may have run is tried again only when it is repeatable and the
 //     budget allows it.
 //  4. The budget is a share of the attempts that succeeded, not of those that
@@ -56,6 +56,9 @@
 	Budget  *Budget
 	Knobs   hbs.Policy
 	Metrics metrics.Registry
+	// CountRefused makes an attempt after one that an endpoint refused cost budget,
+	// where the bound is on what arrives at endpoints.
+	CountRefused bool
 }
 
 // Allow reports whether a request whose latest attempt ended in res, and which
@@ -68,6 +71,10 @@
 	case tries >= p.limit(req, scope): // rule 5
 		return false
 	case notRun(req, res): // rule 2
+		if p.CountRefused && res.End == hbs.EndRefused && !p.Budget.Spend(scope) {
+			p.count("retry_denied")
+			return false
+		}
 		p.count("retry_moved")
 		return true
 	case req.Class != hbs.ClassRepeatable || !worth(res): // rule 3
--- /dev/null
+++ b/roster/roster_test.go
@@ -0,0 +1,104 @@
+package roster_test
+
+import (
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	hbs "github.com/hornbeamstage/hornbeamstage"
+	"github.com/hornbeamstage/hornbeamstage/roster"
+)
+
+var suite *testing.T
+
+func TestRoster(t *testing.T) {
+	suite = t
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "roster")
+}
+
+const returnTime = 2 * time.Second
+
+func engine(id hbs.EndpointID, weights hbs.WeightsVersion) hbs.Endpoint {
+	return hbs.Endpoint{
+		ID: id, Kind: hbs.KindEngine, Domain: "d", Address: netip.MustParseAddrPort("10.0.0.1:80"),
+		State: hbs.StateLive, Model: "m", Weights: weights, Slots: 1,
+	}
+}
+
+// states tells the endpoints of a directory with their states.
+func states(d *roster.Directory) map[hbs.EndpointID]hbs.EndpointState {
+	m := map[hbs.EndpointID]hbs.EndpointState{}
+	for _, e := range d.Roster().Endpoints {
+		m[e.ID] = e.State
+	}
+	return m
+}
+
+var _ = Describe("Directory", func() {
+	bubble := func(f func(g *WithT, d *roster.Directory)) {
+		synctest.Test(suite, func(t *testing.T) {
+			f(NewWithT(t), &roster.Directory{Self: hbs.Instance{ID: "i"}, ReturnTime: returnTime})
+		})
+	}
+
+	It("drops a removed endpoint at once (rule 2)", func() {
+		bubble(func(g *WithT, d *roster.Directory) {
+			d.Put(engine("a", "1"))
+			changed := d.Changed()
+			d.Remove("a")
+			g.Expect(states(d)).To(BeEmpty())
+			g.Expect(changed).To(BeClosed())
+		})
+	})
+
+	It("keeps an endpoint whose record lapsed while the platform was away, until it is back (rule 3)", func() {
+		bubble(func(g *WithT, d *roster.Directory) {
+			d.Put(engine("a", "1"))
+			d.Put(engine("b", "1"))
+			time.Sleep(10 * time.Second)
+			d.Returned()
+			d.Remove("a")
+			d.Replace([]hbs.Endpoint{engine("c", "1")})
+			time.Sleep(returnTime / 2)
+			d.Expire()
+			g.Expect(states(d)).To(HaveLen(3))
+			d.Put(engine("a", "1"))
+			time.Sleep(returnTime)
+			d.Expire()
+			g.Expect(states(d)).To(HaveLen(2))
+			g.Expect(states(d)).To(HaveKey(hbs.EndpointID("a")))
+			g.Expect(states(d)).NotTo(HaveKey(hbs.EndpointID("b")))
+			d.Remove("a")
+			g.Expect(states(d)).To(HaveLen(1))
+		})
+	})
+
+	It("believes an endpoint before its record about weights (rule 4)", func() {
+		bubble(func(g *WithT, d *roster.Directory) {
+			d.Put(engine("a", "1"))
+			d.Misplaced("a", "1", "2")
+			d.Misplaced("a", "1", "3")
+			d.Misplaced("a", "2", "")
+			g.Expect(d.Roster().Endpoints[0].Weights).To(Equal(hbs.WeightsVersion("2")))
+		})
+	})
+
+	It("gives old weights no new work while an engine of the model has newer ones (rule 5)", func() {
+		bubble(func(g *WithT, d *roster.Directory) {
+			begun := time.Now()
+			d.TooOld = func(e *hbs.Endpoint) bool { return e.Weights == "1" && time.Since(begun) > time.Minute }
+			d.Put(engine("a", "1"))
+			time.Sleep(2 * time.Minute)
+			d.Expire()
+			g.Expect(states(d)).To(HaveKeyWithValue(hbs.EndpointID("a"), hbs.StateLive), "there is no other")
+			d.Put(engine("b", "2"))
+			g.Expect(states(d)).To(HaveKeyWithValue(hbs.EndpointID("a"), hbs.StateDraining))
+			g.Expect(states(d)).To(HaveKeyWithValue(hbs.EndpointID("b"), hbs.StateLive))
+		})
+	})
+})
