logging: a line for each attempt and request, never blocking

Cause: lines were changes of state only, on standard error, and a blocked output would have blocked the router.

Each attempt has a line with what decided on it, each request of a gateway one with its outcome. SIGHUP reads a hosting platform's bounds again in place of ending the process.

--- a/cmd/hornbeamstage/main.go
+++ b/cmd/hornbeamstage/main.go
@@ -29,8 +29,10 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	stops := make(chan os.Signal, 2)
-	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
+	stops := make(chan os.Signal, 4)
+	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	// A reader of the log that goes away must not end the process.
+	signal.Ignore(syscall.SIGPIPE)
 	code, err := cmd.Run(ctx, stops)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "hornbeamstage:", err)
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -171,6 +171,7 @@
 // run runs one attempt and ends its booking.
 func (s *serving) run(ctx context.Context, c *attempt.Call) attempt.Result {
 	res := s.Sender.Run(ctx, c)
+	s.explain(c, &res)
 	s.admission.Finish(s.req, c.Placement, res.AttemptResult)
 	if res.End == hbs.EndComplete {
 		scope := retry.ScopeOf(s.req)
@@ -180,6 +181,30 @@
 	return res
 }
 
+// explain logs an attempt with what decided on it.
+func (s *serving) explain(c *attempt.Call, res *attempt.Result) {
+	if s.Log == nil {
+		return
+	}
+	p, e := c.Placement, &c.Placement.Endpoint
+	fields := []zap.Field{
+		zap.String("request", string(s.req.ID)), zap.String("attempt", string(p.Attempt)),
+		zap.String("endpoint", string(e.ID)), zap.String("domain", string(e.Domain)),
+		zap.String("weights", string(e.Weights)), zap.Uint64("record", uint64(e.Revision)),
+		zap.Int("prompt_tokens", s.req.PromptTokens), zap.Int("believed_cached", p.CachedTokens),
+		zap.Duration("predicted_wait", p.Wait), zap.Duration("predicted_first", p.FirstToken), zap.Int("priority", p.Priority),
+		zap.String("end", string(res.End)), zap.Int("status", res.Status),
+		zap.Duration("first", res.FirstToken), zap.Duration("took", res.Duration), zap.Int("tokens", res.OutputTokens),
+	}
+	if c.After != "" {
+		fields = append(fields, zap.String("after", c.After))
+	}
+	if r := res.Refusal; r != nil {
+		fields = append(fields, zap.String("reason", string(r.Reason)), zap.String("detail", r.Detail))
+	}
+	s.Log.Info("attempt ended", fields...)
+}
+
 // note keeps what an ended attempt means for the outcome (rule 4).
 func (s *serving) note(res *attempt.Result) {
 	if res.Refusal == nil || res.Refusal.Outcome != hbs.OutcomeNotRun {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -67,10 +67,12 @@
 
 // Gateway is one instance. Its exported fields are set before Run.
 type Gateway struct {
-	Boot    *platform.Boot
-	Network hbs.Network
-	Log     *zap.Logger
-	Metrics metrics.Registry
+	Boot *platform.Boot
+	// BootFile is where Boot was read from, for Reload.
+	BootFile string
+	Network  hbs.Network
+	Log      *zap.Logger
+	Metrics  metrics.Registry
 	// Knobs and Meters are the tables of all parts.
 	Knobs  []hbs.Knob
 	Meters []hbs.Meter
@@ -118,6 +120,19 @@
 	g.stopped.Do(func() { close(g.stop) })
 }
 
+// Reload reads the settings file again and takes its bounds. Everything else
+// belongs to the start.
+func (g *Gateway) Reload() {
+	g.init()
+	b, err := platform.ReadBoot(g.BootFile)
+	if err != nil {
+		g.Log.Error("settings not reloaded", zap.Error(err))
+		return
+	}
+	old := g.handler.bounds.Swap(&b.Bounds)
+	g.Log.Info("settings reloaded", zap.Bool("bounds_changed", *old != b.Bounds))
+}
+
 func (g *Gateway) stopping() bool {
 	select {
 	case <-g.stop:
@@ -174,9 +189,10 @@
 		Log: g.Log.Named("converge"), Wanted: g.versions.wanted, Suspended: g.Suspended,
 	}
 	g.handler = &handler{
-		table: g.table, directory: g.directory, dispatcher: g.dispatcher, bounds: &b.Bounds,
+		table: g.table, directory: g.directory, dispatcher: g.dispatcher,
 		metrics: g.Metrics, log: g.Log.Named("request"), stopping: g.stopping,
 	}
+	g.handler.bounds.Store(&b.Bounds)
 }
 
 // Run serves until Stop or until ctx ends, which cuts running requests.
@@ -260,7 +276,7 @@
 		return ctx.Err()
 	}
 	g.Log.Info("instance stops")
-	grace := time.Duration(graceShare * float64(g.Boot.Bounds.Grace))
+	grace := time.Duration(graceShare * float64(g.handler.bounds.Load().Grace))
 	last := time.Now().Add(grace)
 	if err := delay.For(ctx, min(belowRotation, grace)); err != nil {
 		return err
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -38,7 +39,7 @@
 	table      *tables
 	directory  *roster.Directory
 	dispatcher *dispatch.Dispatcher
-	bounds     *platform.Bounds
+	bounds     atomic.Pointer[platform.Bounds]
 	metrics    metrics.Registry
 	log        *zap.Logger
 	stopping   func() bool
@@ -122,7 +123,7 @@
 
 // unknown returns refusal where the table is known to be the newest one.
 func (x *exchange) unknown(refusal *hbs.Refusal) error {
-	if x.h.bounds.ConfigTime > 0 && x.age > watchWait+x.h.bounds.ConfigTime {
+	if d := x.h.bounds.Load().ConfigTime; d > 0 && x.age > watchWait+d {
 		return hbs.NotRun(hbs.ReasonStarting, "routes may be old", startingRetry)
 	}
 	return refusal
@@ -134,7 +135,7 @@
 	if !x.table.Keyed || x.route.Public {
 		return nil
 	}
-	if b := x.h.bounds; b.StrictRevoke && x.age > b.Revoke {
+	if b := x.h.bounds.Load(); b.StrictRevoke && x.age > b.Revoke {
 		return hbs.NotRun(hbs.ReasonNoPlatform, "keys may be old", startingRetry)
 	}
 	x.workspace = x.table.Workspace(x.terms.Key)
--- a/router/logger.go
+++ b/logging/logger.go
@@ -1,30 +1,28 @@
-package router
+package logging
 
 import (
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
-
-	"github.com/hornbeamstage/hornbeamstage/settings"
 )
 
-// newLogger returns the logger that the settings ask for.
-func newLogger(s *settings.Settings) (log *zap.Logger, err error) {
+// Console is the format for people; every other one is JSON.
+const Console = "console"
+
+// New returns a logger that writes to w.
+func New(w *Writer, format, level string) (log *zap.Logger, err error) {
 	defer func() { err = errors.Wrap(err, "make logger") }()
-	cfg := zap.NewProductionConfig()
-	cfg.Encoding = s.Log.Format
-	cfg.Sampling = nil
-	cfg.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	cfg.DisableStacktrace = true
-	cfg.Level, err = zap.ParseAtomicLevel(s.Log.Level)
+	least, err := zapcore.ParseLevel(level)
 	if err != nil {
 		return nil, err
 	}
-	log, err = cfg.Build(zap.WrapCore(func(c zapcore.Core) zapcore.Core { return plainErrors{c} }))
-	if err != nil {
-		return nil, err
+	cfg := zap.NewProductionEncoderConfig()
+	cfg.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	encoder := zapcore.NewJSONEncoder(cfg)
+	if format == Console {
+		encoder = zapcore.NewConsoleEncoder(cfg)
 	}
-	return log.With(zap.String("instance", string(s.Instance.ID))), nil
+	return zap.New(plainErrors{zapcore.NewCore(encoder, w, least)}), nil
 }
 
 // plainErrors writes errors as their message alone. Errors of cockroachdb carry
--- a/router/logger_test.go
+++ b/logging/logger_test.go
@@ -1,4 +1,4 @@
-package router
+package logging
 
 import (
 	"github.com/cockroachdb/errors"
--- a/router/router.go
+++ b/router/router.go
@@ -63,6 +63,9 @@
 	r.stopped.Do(func() { close(r.stop) })
 }
 
+// Reload logs that settings are read at the start only.
+func (r *Router) Reload() { r.Log.Info("settings not reloaded, they are read at the start") }
+
 // Run serves until Stop or until ctx ends, which cuts running requests.
 func (r *Router) Run(ctx context.Context) (err error) {
 	defer func() { err = errors.Wrapf(err, "instance %s", r.Settings.Instance.ID) }()
