gateway: tell instances of engines that change, find the store's return at once

Change: the holder of the lease puts the version into the status of the engine's record before it orders; instances send it nothing until its record has it, for 6 s at most.

--- a/converge/converge.go
+++ b/converge/converge.go
@@ -12,6 +12,7 @@
 //	    a copy that comes late, or after a restart, is refused.
 //	C4. An engine lets its running requests end before it loads and refuses those
 //	    that wait, so at most a share of a model's engines changes at once.
+//	    The instances are told before the order, so that they send it no more.
 //	C5. What counts is the engine's record. An order without effect is given
 //	    again after a new report.
 //	C6. After the process stood still the grant counts as lost: the clock that
@@ -32,6 +33,7 @@
 	"go.uber.org/zap"
 
 	hbs "github.com/hornbeamstage/hornbeamstage"
+	"github.com/hornbeamstage/hornbeamstage/delay"
 	"github.com/hornbeamstage/hornbeamstage/lease"
 	"github.com/hornbeamstage/hornbeamstage/order"
 	"github.com/hornbeamstage/hornbeamstage/platform"
@@ -45,9 +47,11 @@
 	// busyPause is the time until an engine is asked again that carries out an
 	// order or did not answer. Each question costs it a little.
 	busyPause = 700 * time.Millisecond
-	// patience is how long the record of an engine may take to change after an
+	// Patience is how long the record of an engine may take to change after an
 	// order was taken.
-	patience = 6 * time.Second
+	Patience = 6 * time.Second
+	// tellTime is how long instances take to learn that an engine changes.
+	tellTime = 30 * time.Millisecond
 	// suspendSlack is above the error of Suspended.
 	suspendSlack = 20 * time.Millisecond
 	// changeShare is the part of a model's engines that may change at once.
@@ -64,6 +68,8 @@
 	Log       *zap.Logger
 	// Wanted returns the newest version named for a model; 0 for none.
 	Wanted func(hbs.ModelName) int64
+	// Tell tells all instances that an engine is being brought to a version.
+	Tell func(ctx context.Context, id hbs.EndpointID, version int64) error
 	// Suspended returns for how long the machine has been suspended in all, give or
 	// take a few milliseconds.
 	Suspended func() time.Duration
@@ -248,11 +254,18 @@
 		return busyPause, err
 	}
 	if report.Weights[s.engine.Model] >= version {
-		return patience, nil
+		return Patience, nil
 	}
 	if report.Ordered {
 		return busyPause, nil
 	}
+	if err := s.Tell(ctx, s.engine.ID, version); err != nil {
+		// Without it requests are refused there, and go elsewhere.
+		s.Log.Warn("change of weights not told", zap.String("endpoint", string(s.engine.ID)), zap.Error(err))
+	}
+	if err := delay.For(ctx, tellTime); err != nil {
+		return 0, err
+	}
 	verdict, err := s.order(ctx, &platform.WeightsOrder{
 		Model: s.engine.Model, Version: version, Holder: s.Self, Fence: s.fence, Orders: report.Orders,
 	})
@@ -262,7 +275,7 @@
 	metrics.GetOrRegisterCounter(meterPrefix+string(verdict), s.Metrics).Inc(1)
 	switch verdict {
 	case platform.OrderTaken, platform.OrderHolds:
-		return patience, nil
+		return Patience, nil
 	}
 	return busyPause, err
 }
--- a/gateway/feeds.go
+++ b/gateway/feeds.go
@@ -55,6 +55,21 @@
 		}
 	}
 	f.directory.Replace(all)
+	for i := range objs {
+		f.takeStatus(&objs[i])
+	}
+}
+
+// takeStatus takes what an instance says of an engine.
+func (f *serverFeed) takeStatus(obj *hbs.Object) {
+	target := platform.DecodeServerStatus(obj.Status).Target
+	e, ok := f.directory.Endpoint(hbs.EndpointID(obj.Name))
+	if !ok || target == 0 {
+		return
+	}
+	if have, err := platform.ParseWeights(e.Weights); err == nil && have < target {
+		f.directory.Changing(e.ID, e.Weights)
+	}
 }
 
 func (f *serverFeed) change(ev hbs.WatchEvent) {
@@ -70,6 +85,7 @@
 		return
 	}
 	f.directory.Put(e)
+	f.takeStatus(&ev.Object)
 	f.Log.Info("endpoint recorded", zap.String("endpoint", string(id)), zap.String("state", string(e.State)),
 		zap.String("weights", string(e.Weights)), zap.Uint64("revision", uint64(e.Revision)))
 }
--- a/gateway/follower.go
+++ b/gateway/follower.go
@@ -28,7 +28,7 @@
 const (
 	// firstPause and lastPause bound the pauses after failed calls.
 	firstPause = 50 * time.Millisecond
-	lastPause  = time.Second
+	lastPause  = 700 * time.Millisecond
 	// absence is the time without an answer after which the store counts as away.
 	absence = watchWait + 1500*time.Millisecond
 	// eventBacklog is how many events may wait for the feed.
@@ -115,7 +115,7 @@
 
 // answered notes an answer of the store.
 func (f *follower) answered() {
-	if f.away {
+	if f.away || time.Since(f.heard) > absence {
 		f.log.Info("store regained", zap.String("kind", string(f.kind)), zap.Duration("away", time.Since(f.heard)))
 		f.feed.returned()
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"math/rand/v2"
 	"net/http"
 	"runtime/debug"
@@ -163,7 +164,7 @@
 		Policy: g.policy, Metrics: g.Metrics,
 	}
 	g.versions = &versions{Converge: b.Bounds.ConvergeTime}
-	g.directory = &roster.Directory{Self: self, ReturnTime: returnTime, TooOld: g.versions.tooOld}
+	g.directory = &roster.Directory{Self: self, ReturnTime: returnTime, ChangeTime: converge.Patience, TooOld: g.versions.tooOld}
 	g.table = &tables{Suspended: g.Suspended}
 	g.fleet = &placement.Fleet{
 		Directory: g.directory, Policy: g.policy, Self: self, Network: g.Network, Metrics: g.Metrics,
@@ -186,7 +187,7 @@
 	}
 	g.controller = &converge.Controller{
 		Self: self.ID, Lease: g.lease, Directory: g.directory, Network: g.Network, Metrics: g.Metrics,
-		Log: g.Log.Named("converge"), Wanted: g.versions.wanted, Suspended: g.Suspended,
+		Log: g.Log.Named("converge"), Wanted: g.versions.wanted, Suspended: g.Suspended, Tell: g.tellChange,
 	}
 	g.handler = &handler{
 		table: g.table, directory: g.directory, dispatcher: g.dispatcher,
@@ -195,6 +196,15 @@
 	g.handler.bounds.Store(&b.Bounds)
 }
 
+// tellChange tells all instances that an engine is being brought to a version.
+func (g *Gateway) tellChange(ctx context.Context, id hbs.EndpointID, version int64) error {
+	status, err := json.Marshal(platform.ServerStatus{Target: version})
+	if err != nil {
+		return err
+	}
+	return g.store.PutStatus(ctx, platform.KindServers, string(id), status)
+}
+
 // Run serves until Stop or until ctx ends, which cuts running requests.
 func (g *Gateway) Run(ctx context.Context) (err error) {
 	defer func() { err = errors.Wrapf(err, "instance %s", g.Boot.Instance) }()
--- a/platform.go
+++ b/platform.go
@@ -33,6 +33,9 @@
 	Revision Revision
 	// Value is JSON, at most MaxObjectBytes long.
 	Value json.RawMessage
+	// Status is what others than the writer of Value say of the object, in JSON;
+	// empty where the platform keeps none. Create and Update leave it as it is.
+	Status json.RawMessage
 }
 
 // MaxObjectBytes is the largest value that the platform takes, in bytes.
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -13,7 +13,9 @@
 //  4. What an endpoint says in-band goes before an older record: an endpoint with
 //     other weights than its record gets no work that names weights until the
 //     record changes.
-//  5. Engines with weights that are too old get no new work, unless no engine of
+//  5. An engine that an instance says it brings to newer weights gets no new work
+//     until its record has them, for at most ChangeTime: it would refuse it.
+//  6. Engines with weights that are too old get no new work, unless no engine of
 //     their model has newer ones.
 package roster
 
@@ -33,7 +35,9 @@
 	Self hbs.Instance
 	// ReturnTime is how long records may be missing after the platform is back.
 	ReturnTime time.Duration
-	// TooOld reports whether an engine's weights are too old for new work (rule 5);
+	// ChangeTime is how long an engine may take to change its weights.
+	ChangeTime time.Duration
+	// TooOld reports whether an engine's weights are too old for new work (rule 6);
 	// nil if none are.
 	TooOld func(*hbs.Endpoint) bool
 
@@ -43,20 +47,29 @@
 	// records are the endpoints by id, missing those whose record lapsed (rule 3).
 	records map[hbs.EndpointID]hbs.Endpoint
 	missing map[hbs.EndpointID]time.Time
-	// old are the engines that are too old in roster.
-	old map[hbs.EndpointID]bool
+	// changes are the engines that change their weights (rule 5).
+	changes map[hbs.EndpointID]change
+	// out are the engines that get no new work in roster, by rules 5 and 6.
+	out map[hbs.EndpointID]bool
 	// backAt is when the platform was last reached again after an absence.
 	backAt  time.Time
 	roster  *hbs.Roster
 	changed chan struct{}
 }
 
+// change is the way of an engine to other weights.
+type change struct {
+	from  hbs.WeightsVersion
+	until time.Time
+}
+
 var _ hbs.Directory = (*Directory)(nil)
 
 func (d *Directory) init() {
 	d.once.Do(func() {
 		d.records = map[hbs.EndpointID]hbs.Endpoint{}
 		d.missing = map[hbs.EndpointID]time.Time{}
+		d.changes = map[hbs.EndpointID]change{}
 		d.changed = make(chan struct{})
 		d.roster = &hbs.Roster{Instances: []hbs.Instance{d.Self}}
 	})
@@ -78,6 +91,15 @@
 	return d.changed
 }
 
+// Endpoint returns the newest record of an endpoint.
+func (d *Directory) Endpoint(id hbs.EndpointID) (e hbs.Endpoint, ok bool) {
+	d.init()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e, ok = d.records[id]
+	return e, ok
+}
+
 // Put takes the newest record of an endpoint.
 func (d *Directory) Put(e hbs.Endpoint) {
 	d.init()
@@ -92,6 +114,19 @@
 	delete(d.missing, e.ID)
 }
 
+// Changing takes the word that an engine is being brought from the weights that
+// it has to others (rule 5). It is said again and again and counts from the first.
+func (d *Directory) Changing(id hbs.EndpointID, from hbs.WeightsVersion) {
+	d.init()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if c, ok := d.changes[id]; ok && c.from == from {
+		return
+	}
+	d.changes[id] = change{from, time.Now().Add(d.ChangeTime)}
+	d.publish()
+}
+
 // Remove takes the word that an endpoint's record is gone, or names none.
 func (d *Directory) Remove(id hbs.EndpointID) {
 	d.init()
@@ -111,7 +146,13 @@
 		}
 		return
 	}
+	d.drop(id)
+}
+
+// drop forgets an endpoint. The caller holds mu.
+func (d *Directory) drop(id hbs.EndpointID) {
 	delete(d.records, id)
+	delete(d.changes, id)
 }
 
 // Replace takes a whole listing.
@@ -143,7 +184,8 @@
 }
 
 // Expire applies the rules that hang on time: it drops the endpoints whose
-// records did not come back (rule 3) and looks for old weights anew (rule 5).
+// records did not come back (rule 3) and looks anew for engines that get no new
+// work (rules 5 and 6).
 func (d *Directory) Expire() {
 	d.init()
 	d.mu.Lock()
@@ -153,38 +195,38 @@
 	for id, until := range d.missing {
 		if now.After(until) {
 			delete(d.missing, id)
-			delete(d.records, id)
+			d.drop(id)
 			dropped = true
 		}
 	}
-	if dropped || !maps.Equal(d.old, d.tooOld()) {
+	if dropped || !maps.Equal(d.out, d.outOfUse()) {
 		d.publish()
 	}
 }
 
-// tooOld applies rule 5. The caller holds mu.
-func (d *Directory) tooOld() map[hbs.EndpointID]bool {
-	old := map[hbs.EndpointID]bool{}
-	if d.TooOld == nil {
-		return old
-	}
+// outOfUse returns the engines that get no new work by rules 5 and 6. The caller
+// holds mu.
+func (d *Directory) outOfUse() map[hbs.EndpointID]bool {
+	out, old := map[hbs.EndpointID]bool{}, map[hbs.EndpointID]bool{}
 	newer := map[hbs.ModelName]bool{}
+	now := time.Now()
 	for id, e := range d.records {
-		if e.Kind != hbs.KindEngine || e.State != hbs.StateLive {
-			continue
-		}
-		if d.TooOld(&e) {
+		switch c, ok := d.changes[id]; {
+		case e.Kind != hbs.KindEngine || e.State != hbs.StateLive:
+		case ok && c.from == e.Weights && now.Before(c.until):
+			out[id] = true
+		case d.TooOld != nil && d.TooOld(&e):
 			old[id] = true
-		} else {
+		default:
 			newer[e.Model] = true
 		}
 	}
 	for id := range old {
-		if !newer[d.records[id].Model] {
-			delete(old, id)
+		if newer[d.records[id].Model] {
+			out[id] = true
 		}
 	}
-	return old
+	return out
 }
 
 // Misplaced takes the word of an endpoint that it has other weights than its
@@ -205,9 +247,9 @@
 // publish makes the records the roster. The caller holds mu.
 func (d *Directory) publish() {
 	r := &hbs.Roster{Instances: []hbs.Instance{d.Self}}
-	d.old = d.tooOld()
+	d.out = d.outOfUse()
 	for id, e := range d.records {
-		if d.old[id] {
+		if d.out[id] {
 			e.State = hbs.StateDraining
 		}
 		r.Endpoints = append(r.Endpoints, e)
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -88,7 +88,24 @@
 		})
 	})
 
-	It("gives old weights no new work while an engine of the model has newer ones (rule 5)", func() {
+	It("gives an engine that changes its weights no new work, until it has them or the time is over (rule 5)", func() {
+		bubble(func(g *WithT, d *roster.Directory) {
+			d.ChangeTime = 6 * time.Second
+			d.Put(engine("a", "1"))
+			d.Put(engine("b", "1"))
+			d.Changing("a", "1")
+			d.Changing("b", "1")
+			g.Expect(states(d)).To(HaveEach(hbs.StateDraining))
+			d.Put(engine("a", "2"))
+			g.Expect(states(d)).To(HaveKeyWithValue(hbs.EndpointID("a"), hbs.StateLive))
+			time.Sleep(7 * time.Second)
+			d.Changing("b", "1")
+			d.Expire()
+			g.Expect(states(d)).To(HaveEach(hbs.StateLive))
+		})
+	})
+
+	It("gives old weights no new work while an engine of the model has newer ones (rule 6)", func() {
 		bubble(func(g *WithT, d *roster.Directory) {
 			begun := time.Now()
 			d.TooOld = func(e *hbs.Endpoint) bool { return e.Weights == "1" && time.Since(begun) > time.Minute }
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -72,6 +72,8 @@
 	Kind     hbs.ObjectKind  `json:"kind"`
 	Metadata Metadata        `json:"metadata"`
 	Spec     json.RawMessage `json:"spec,omitempty"`
+	// Status is kept for the second form alone.
+	Status json.RawMessage `json:"-"`
 }
 
 // Metadata is the wire form of an object's name and revision.
--- a/standin/platform/serve.go
+++ b/standin/platform/serve.go
@@ -55,6 +55,7 @@
 	r.POST("/apis/v1/:kind", p.handle(verbCreate))
 	r.PUT("/apis/v1/:kind/:name", p.handle(verbUpdate))
 	r.DELETE("/apis/v1/:kind/:name", p.handle(verbDelete))
+	p.addNumbered(r)
 	return r
 }
 
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -24,6 +24,9 @@
 	before, ok := p.objects[k]
 	if ok {
 		verb = modified
+		if o.Status == nil {
+			o.Status = before.Status
+		}
 	}
 	p.rev++
 	o.Metadata.ResourceVersion = strconv.FormatUint(p.rev, 10)
--- /dev/null
+++ b/standin/pool/pool.go
@@ -0,0 +1,311 @@
+// Package pool is a stand-in for an endpoint of a hosting platform: an engine or
+// a plain service that takes callers' requests as they are (docs/protocols.md).
+// It records what it ran and has faults that can be turned on. Work takes a
+// fixed time; there is no model of a batch or a cache.
+package pool
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+
+	hbs "github.com/hornbeamstage/hornbeamstage"
+	"github.com/hornbeamstage/hornbeamstage/delay"
+)
+
+// Run is one request that the endpoint ran.
+type Run struct {
+	Request, Path, Body string
+	Header              http.Header
+	// After is the number of the event that a stream went on after.
+	After int
+}
+
+// Faults are turned on for all requests until they are set anew.
+type Faults struct {
+	// Shed refuses requests without running them.
+	Shed bool
+	// Cut ends streams within the event after so many; 0 is never.
+	Cut int
+	// Lose runs requests and cuts their connections instead of answering.
+	Lose bool
+	// Cross answers with another request's id.
+	Cross bool
+	// Forget answers orders with a cut connection after they were taken.
+	Forget bool
+}
+
+// Endpoint is one endpoint. Exported fields are set before Serve.
+type Endpoint struct {
+	ID      hbs.EndpointID
+	Service hbs.ServiceName
+	Domain  hbs.DomainName
+	Address netip.AddrPort
+	Network hbs.Network
+	// Model is empty for a plain service.
+	Model hbs.ModelName
+	// Work is the time to the answer or its first event, Gap that between events.
+	Work, Gap time.Duration
+	// Events is the number of events of a stream.
+	Events int
+	// Load is the time to change weights.
+	Load time.Duration
+	// Changed is called when the record changes; may be nil.
+	Changed func()
+
+	mu      sync.Mutex
+	faults  Faults
+	runs    []Run
+	orders  []Order
+	weights int64
+	state   string
+	loading bool
+	canceld int
+}
+
+// Order is one order that the endpoint took.
+type Order struct {
+	Model   string `json:"model"`
+	Version int64  `json:"version"`
+	Holder  string `json:"holder"`
+	Fence   uint64 `json:"fence"`
+	// Orders must be the number of orders taken before.
+	Orders int `json:"precondition"`
+}
+
+// record is the wire form of the endpoint's record and report.
+type record struct {
+	Service  string  `json:"service,omitempty"`
+	Address  string  `json:"address,omitempty"`
+	Zone     string  `json:"zone,omitempty"`
+	Slots    int     `json:"slots,omitempty"`
+	State    string  `json:"state,omitempty"`
+	Models   []model `json:"models,omitempty"`
+	Busy     bool    `json:"busy"`
+	Sequence int     `json:"sequence"`
+	Born     int64   `json:"born"`
+}
+
+type model struct {
+	Name    string `json:"name"`
+	Version int64  `json:"version"`
+}
+
+// slots is what records tell; the stand-in has no limit.
+const slots = 64
+
+// Record returns the endpoint's record as it registers itself.
+func (e *Endpoint) Record() any {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r := e.report()
+	r.Service, r.Address, r.Zone, r.Slots, r.State = string(e.Service), e.Address.String(), string(e.Domain), slots, "ready"
+	if e.state != "" {
+		r.State = e.state
+	}
+	return r
+}
+
+// report returns what the endpoint tells of itself. The caller holds mu.
+func (e *Endpoint) report() record {
+	r := record{Busy: e.loading, Sequence: len(e.orders), Born: 1}
+	if e.Model != "" {
+		r.Models = []model{{string(e.Model), max(e.weights, 1)}}
+	}
+	return r
+}
+
+// Leave makes the endpoint's record tell that it leaves.
+func (e *Endpoint) Leave() {
+	e.mu.Lock()
+	e.state = "draining"
+	e.mu.Unlock()
+	e.changed()
+}
+
+func (e *Endpoint) changed() {
+	if e.Changed != nil {
+		e.Changed()
+	}
+}
+
+// Fail sets the faults.
+func (e *Endpoint) Fail(f Faults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults = f
+}
+
+// Runs returns what the endpoint ran.
+func (e *Endpoint) Runs() []Run {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]Run(nil), e.runs...)
+}
+
+// Orders returns the orders that it took.
+func (e *Endpoint) Orders() []Order {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]Order(nil), e.orders...)
+}
+
+// Weights returns the version that the endpoint has.
+func (e *Endpoint) Weights() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return max(e.weights, 1)
+}
+
+// Canceled returns the number of requests whose sender left before the end.
+func (e *Endpoint) Canceled() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.canceld
+}
+
+// Serve serves until ctx ends.
+func (e *Endpoint) Serve(ctx context.Context) (err error) {
+	defer func() { err = errors.Wrapf(err, "endpoint %s", e.ID) }()
+	l, err := e.Network.Listen(e.Address)
+	if err != nil {
+		return err
+	}
+	m := http.NewServeMux()
+	m.HandleFunc("GET /v1/report", e.serveReport)
+	m.HandleFunc("POST /v1/order", e.serveOrder)
+	m.HandleFunc("/", e.serveRequest)
+	srv := &http.Server{Handler: m}
+	var wg conc.WaitGroup
+	wg.Go(func() { _ = srv.Serve(l) })
+	<-ctx.Done()
+	srv.Close()
+	wg.Wait()
+	return ctx.Err()
+}
+
+func (e *Endpoint) serveReport(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	r := e.report()
+	e.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(r)
+}
+
+func (e *Endpoint) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var o Order
+	if json.NewDecoder(r.Body).Decode(&o) != nil || o.Holder == "" || o.Fence == 0 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	status, forget := e.take(o)
+	if forget {
+		panic(http.ErrAbortHandler)
+	}
+	w.WriteHeader(status)
+}
+
+// take carries out an order beside the answer to it.
+func (e *Endpoint) take(o Order) (status int, forget bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case max(e.weights, 1) == o.Version:
+		return http.StatusOK, false
+	case e.loading || o.Orders != len(e.orders):
+		return http.StatusConflict, false
+	}
+	e.orders = append(e.orders, o)
+	e.loading = true
+	time.AfterFunc(e.Load, func() {
+		e.mu.Lock()
+		e.loading, e.weights = false, o.Version
+		e.mu.Unlock()
+		e.changed()
+	})
+	return http.StatusAccepted, e.faults.Forget
+}
+
+func (e *Endpoint) serveRequest(w http.ResponseWriter, r *http.Request) {
+	refused, faults := e.admit(w, r)
+	if refused {
+		return
+	}
+	if delay.For(r.Context(), e.Work) != nil {
+		e.left()
+		return
+	}
+	if faults.Lose {
+		panic(http.ErrAbortHandler)
+	}
+	id := r.Header.Get("X-Request-Id")
+	if faults.Cross {
+		id = "of-another"
+	}
+	w.Header().Set("X-Request-Id", id)
+	w.Header().Set("X-Instance-Stamp", "made-by-"+string(e.ID))
+	if e.Model == "" {
+		_, _ = fmt.Fprintf(w, "answer to %s", id)
+		return
+	}
+	e.stream(w, r, faults)
+}
+
+// admit refuses a request or records its run.
+func (e *Endpoint) admit(w http.ResponseWriter, r *http.Request) (refused bool, f Faults) {
+	body := make([]byte, max(r.ContentLength, 0))
+	if _, err := r.Body.Read(body); err != nil && len(body) > 0 && r.ContentLength < 0 {
+		return true, f
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	expected := r.Header.Get("X-Expect-Instance")
+	version := r.Header.Get("X-Expect-Version")
+	switch {
+	case expected != "" && expected != string(e.ID),
+		version != "" && version != strconv.FormatInt(max(e.weights, 1), 10):
+		w.Header().Set("X-Instance-Id", string(e.ID))
+		w.Header().Set("X-Weight-Versions", strconv.FormatInt(max(e.weights, 1), 10))
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return true, f
+	case e.faults.Shed || e.loading:
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return true, f
+	}
+	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	e.runs = append(e.runs, Run{r.Header.Get("X-Request-Id"), r.RequestURI, string(body), r.Header.Clone(), after})
+	return false, e.faults
+}
+
+func (e *Endpoint) left() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.canceld++
+}
+
+// stream sends the events after the one that the sender has.
+func (e *Endpoint) stream(w http.ResponseWriter, r *http.Request, f Faults) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	for n := after + 1; n <= e.Events; n++ {
+		if f.Cut > 0 && n > f.Cut {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: par", n)
+			w.(http.Flusher).Flush()
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", n, n)
+		w.(http.Flusher).Flush()
+		if delay.For(r.Context(), e.Gap) != nil {
+			e.left()
+			return
+		}
+	}
+}
