placement: even homes for instances that do not hear each other

Cause: instances of a gateway tell each other nothing, so each moved the weights of rendezvous hashing by its own demand, and one prefix had different homes.

Change: the weights stay even there.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -168,7 +168,7 @@
 	g.table = &tables{Suspended: g.Suspended}
 	g.fleet = &placement.Fleet{
 		Directory: g.directory, Policy: g.policy, Self: self, Network: g.Network, Metrics: g.Metrics,
-		Seed: g.Seed, Log: g.Log.Named("placement"), Scope: placement.ScopeRegion,
+		Seed: g.Seed, Log: g.Log.Named("placement"), Scope: placement.ScopeRegion, EvenHomes: true,
 	}
 	sender := &forward.Sender{
 		Network: g.Network, Policy: g.policy, Metrics: g.Metrics,
--- a/placement/duties.go
+++ b/placement/duties.go
@@ -80,7 +80,9 @@
 	ejected := 0
 	for _, g := range f.groups {
 		g.judge(now)
-		g.rebalance(now)
+		if !f.EvenHomes {
+			g.rebalance(now)
+		}
 		for _, m := range g.members {
 			m.ledger.Tidy(now)
 			if m.score.Ejected() {
--- a/placement/fleet.go
+++ b/placement/fleet.go
@@ -73,6 +73,10 @@
 	Log  *zap.Logger
 	// Scope overrides the knob placement.scope when it is not empty.
 	Scope Scope
+	// EvenHomes keeps the weights of endpoints in rendezvous hashing alike, for
+	// instances that do not hear each other: weights of their own would make
+	// different endpoints the home of one prefix.
+	EvenHomes bool
 
 	once   sync.Once
 	meters meters
