--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -20,6 +20,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
@@ -196,6 +197,13 @@
 		zap.String("end", string(res.End)), zap.Int("status", res.Status),
 		zap.Duration("first", res.FirstToken), zap.Duration("took", res.Duration), zap.Int("tokens", res.OutputTokens),
 	}
+	if n := len(s.req.Levels); n > 1 {
+		// The last level is mostly the request's own.
+		fields = append(fields, zap.String("prefix", strconv.FormatUint(uint64(s.req.Levels[n-2].Key), 36)))
+	}
+	if p.LoadFrom.IsValid() {
+		fields = append(fields, zap.Stringer("load_from", p.LoadFrom))
+	}
 	if c.After != "" {
 		fields = append(fields, zap.String("after", c.After))
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -133,6 +133,7 @@
 		Urgency:    urgency(r.Priority),
 		Weights:    e.Weights,
 		CacheScope: r.Request.CacheScope,
+		LoadFrom:   r.Placement.LoadFrom,
 		After:      r.After,
 	}
 	if d := r.Request.Deadline; !d.IsZero() {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -59,6 +59,10 @@
 	leaseTime   = 3 * time.Second
 	leaseRenew  = 900 * time.Millisecond
 	leaseMargin = time.Second
+	// homeLoad is the demand of one prefix, in engines, that one engine is home to.
+	// Engines load prefixes from each other in milliseconds, so waiting is what
+	// bounds it.
+	homeLoad = 0.1
 	// belowRotation is the time after the signal to stop within which the platform
 	// may still send new connections.
 	belowRotation = 3 * time.Second
@@ -168,7 +172,7 @@
 	g.table = &tables{Suspended: g.Suspended}
 	g.fleet = &placement.Fleet{
 		Directory: g.directory, Policy: g.policy, Self: self, Network: g.Network, Metrics: g.Metrics,
-		Seed: g.Seed, Log: g.Log.Named("placement"), Scope: placement.ScopeRegion, EvenHomes: true,
+		Seed: g.Seed, Log: g.Log.Named("placement"), Scope: placement.ScopeRegion, EvenHomes: true, Transfer: g.table.transferRate, HomeLoad: homeLoad,
 	}
 	sender := &forward.Sender{
 		Network: g.Network, Policy: g.policy, Metrics: g.Metrics,
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -56,15 +56,19 @@
 	return time.Since(s.asOf) + total - s.suspended
 }
 
-// eventTokens returns the number of tokens in one event of a service's streams.
-func (s *tables) eventTokens(name hbs.ServiceName) int {
-	t := s.now()
-	if t == nil {
-		return 1
-	}
-	service := t.Service(name)
-	if service == nil {
-		return 1
+// service returns a service of the table in force, or an empty one.
+func (s *tables) service(name hbs.ServiceName) route.Service {
+	if t := s.now(); t != nil {
+		if found := t.Service(name); found != nil {
+			return *found
+		}
 	}
-	return max(service.EventTokens, 1)
+	return route.Service{Name: name}
 }
+
+// eventTokens returns the number of tokens in one event of a service's streams.
+func (s *tables) eventTokens(name hbs.ServiceName) int { return max(s.service(name).EventTokens, 1) }
+
+// transferRate returns how many tokens of cache engines of a service load from
+// each other in a second.
+func (s *tables) transferRate(name hbs.ServiceName) float64 { return s.service(name).TransferRate }
--- a/heat/heat.go
+++ b/heat/heat.go
@@ -5,7 +5,8 @@
 //
 //  1. The demand for a level is the engine time that its requests need each
 //     second: 2.0 keeps two engines busy. It is the own demand plus what peers
-//     tell of theirs; a peer that falls silent is forgotten.
+//     tell of theirs; a peer that falls silent is forgotten. Where instances do
+//     not tell each other, it is the own demand times a scale.
 //  2. What a request computes of levels that were seen before is not counted. It
 //     would make a prefix that is computed often look hot and spread it further.
 //  3. Levels along which no prompts part have the same demand and form a run.
@@ -86,6 +87,13 @@
 // Map follows the demand of one instance and its peers. It is not safe for
 // concurrent use.
 type Map struct {
+	// Scale is the demand of all instances over that of this one and of the peers
+	// that tell theirs; 0 is 1.
+	Scale float64
+	// Full replaces FullLoad, and a share of it ShrinkLoad, where prefixes are
+	// cheap to copy and waiting costs more; 0 leaves both.
+	Full float64
+
 	cells map[hbs.LevelKey]*cell
 	told  map[hbs.InstanceID]word
 }
@@ -165,13 +173,22 @@
 			// Rule 5.
 		case !c.continues(run):
 			run = c
-			size = min(size, c.resize(now))
+			size = min(size, c.resize(now, m.weight()))
 		}
 		sizes = append(sizes, size)
 	}
 	return sizes
 }
 
+// weight is what demand is multiplied with before it is compared with FullLoad
+// and ShrinkLoad.
+func (m *Map) weight() float64 {
+	if m.Full > 0 {
+		return max(1, m.Scale) * FullLoad / m.Full
+	}
+	return max(1, m.Scale)
+}
+
 // Load returns the demand for key.
 func (m *Map) Load(key hbs.LevelKey, now time.Time) float64 {
 	c := m.cells[key]
@@ -188,9 +205,9 @@
 }
 
 // resize applies rule 4.
-func (c *cell) resize(now time.Time) int {
+func (c *cell) resize(now time.Time, weight float64) int {
 	c.decay(now)
-	load := c.total()
+	load := weight * c.total()
 	for load > FullLoad*float64(c.size) {
 		c.size *= 2
 	}
--- a/placement.go
+++ b/placement.go
@@ -1,6 +1,9 @@
 package hornbeamstage
 
-import "time"
+import (
+	"net/netip"
+	"time"
+)
 
 // Placement is the choice of one endpoint for one attempt.
 type Placement struct {
@@ -18,6 +21,9 @@
 	// LoadKept tells that the engine may load what it lacks of the prompt from the
 	// store of kept KV cache.
 	LoadKept bool
+	// LoadFrom is another engine from which the chosen one may load what it lacks of
+	// the prompt; not valid when there is none.
+	LoadFrom netip.AddrPort
 	// KeepTokens is the length of the prompt's prefix that the engine is asked to
 	// put into that store; 0 when none is.
 	KeepTokens int
--- a/placement/cost.go
+++ b/placement/cost.go
@@ -154,6 +154,7 @@
 	b.load.Favoured = req.Favoured
 	if req.Model != "" {
 		b.load.Prefill = max(1, int(miss))
+		g.miss += missGain * (miss - g.miss)
 	}
 	b.queued = m.wait / (g.rates.perToken * m.score.Slowness())
 	b.cached = m.cached
@@ -163,6 +164,7 @@
 	f.bookings[p.Attempt] = b
 	m.ledger.Start(&b.load)
 	p.LoadKept = f.usesStore(g, m)
+	p.LoadFrom = f.loadFrom(g, m, req)
 	if n := f.keep(g, m, req); n > 0 {
 		p.KeepTokens = req.Levels[n-1].Tokens
 		b.keep = req.Levels[:n]
--- a/placement/fleet.go
+++ b/placement/fleet.go
@@ -77,6 +77,12 @@
 	// instances that do not hear each other: weights of their own would make
 	// different endpoints the home of one prefix.
 	EvenHomes bool
+	// HomeLoad is the demand, in engines, from which the home of a prefix gets
+	// another endpoint; 0 leaves it to package heat.
+	HomeLoad float64
+	// Transfer returns how many tokens of cache an engine of a pool loads from
+	// another one in a second, 0 where they can't; nil is 0.
+	Transfer func(hbs.ServiceName) float64
 
 	once   sync.Once
 	meters meters
@@ -104,6 +110,7 @@
 	news     news
 	reports  reports
 	kept     kept
+	part     part
 }
 
 func (f *Fleet) start() { f.once.Do(f.init) }
@@ -121,6 +128,7 @@
 	f.groups = map[groupKey]*group{}
 	f.table = belief.NewTable(int(f.Policy.Number(keyBeliefs, hbs.Scope{})), time.Now())
 	f.heat = heat.NewMap()
+	f.heat.Full = f.HomeLoad
 	f.bookings = map[hbs.AttemptID]*booking{}
 	f.kept = kept{}
 }
@@ -180,6 +188,7 @@
 	f.believe(g, scope, req, now)
 	f.homes(g, scope, list, req, now)
 	f.sample(g, list)
+	f.findSources(g)
 	if best, _, _ := f.cheapest(g, req, avoid, now); best != nil {
 		return best, true, true
 	}
--- a/placement/kept.go
+++ b/placement/kept.go
@@ -86,22 +86,24 @@
 }
 
 // importable sets how much of the prompt m would load from the store of kept KV
-// cache, and the time for it.
+// cache or from another engine, and the time for it.
 func (f *Fleet) importable(g *group, m *member) {
 	m.kept, m.imported, m.importTime = 0, 0, 0
-	missing := float64(g.kept.Tokens) - m.cached
-	if missing <= 0 || !f.usesStore(g, m) {
-		return
+	if missing := float64(g.kept.Tokens) - m.cached; missing > 0 && f.usesStore(g, m) {
+		m.kept = missing
+		m.imported = missing * g.rates.store
+		m.importTime = importBase + missing/g.tuning.importRate
 	}
-	m.kept = missing
-	m.imported = missing * g.rates.store
-	m.importTime = importBase + missing/g.tuning.importRate
+	g.loadable(m)
 }
 
 // spreadCost returns the cost of computing a prefix outside its set on m. Where
 // prefixes that lose their place in a cache are loaded again, it is lower.
 func (f *Fleet) spreadCost(g *group, m *member) float64 {
 	t := &g.tuning
+	if t.transferRate > 0 {
+		return t.keptSpreadCost
+	}
 	if !f.usesStore(g, m) {
 		return t.spreadCost
 	}
--- a/placement/knobs.go
+++ b/placement/knobs.go
@@ -117,8 +117,9 @@
 	keptSpreadCost float64
 	batchCost      float64
 	hop            float64
-	// importRate is in tokens a second.
-	importRate float64
+	// importRate is in tokens a second, as is transferRate, that between engines; 0
+	// where they can't load from each other.
+	importRate, transferRate float64
 	// keepGain is in tokens.
 	keepGain int
 }
@@ -147,6 +148,9 @@
 		keepGain:       int(f.Policy.Number(keyKeepGain, at)),
 		hop:            f.Policy.Duration(keyHop, at).Seconds(),
 	}
+	if f.Transfer != nil {
+		g.tuning.transferRate = f.Transfer(g.key.service)
+	}
 }
 
 func (f *Fleet) scope(at hbs.Scope) Scope {
--- a/placement/member.go
+++ b/placement/member.go
@@ -51,6 +51,8 @@
 	cached, chance float64
 	// believed is cached without the credit for what peers sent to its home.
 	believed float64
+	// held is the number of prompt tokens believed cached before anything is loaded.
+	held float64
 	// kept is how many tokens more the store of kept KV cache is expected to hold.
 	kept float64
 	// home is the length of the prefix whose set the endpoint is in.
--- a/route/route.go
+++ b/route/route.go
@@ -72,6 +72,9 @@
 	CacheTokens int
 	// EventTokens is the number of tokens in one event of a stream; 0 when not told.
 	EventTokens int
+	// TransferRate is how many tokens of cache an engine loads from another one in a
+	// second; 0 when they can't.
+	TransferRate float64
 	// Store is set for the store of kept KV cache.
 	Store *Store
 }
