gateway: read engines' cache events, so that instances know what others sent where

Cause: an instance knew of cached prefixes only what it had sent itself.

Keys of levels are those of a prompt's part, as events name them. Beliefs of engines whose events are read do not fade.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -242,6 +242,7 @@
 		g.follower(platform.KindVersions, &versionFeed{Gateway: g}).Run,
 		g.lease.Run,
 		g.controller.Run,
+		(&cacheFeed{Gateway: g}).Run,
 		g.expire,
 	}
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -188,7 +188,7 @@
 			route("book", "non_idempotent", "desk", 1, false), route("look", "idempotent", "desk", 2, false),
 		},
 		"services": []any{
-			map[string]any{"name": "engines", "engine": map[string]any{"stride": 4}}, map[string]any{"name": "desk"},
+			map[string]any{"name": "engines", "engine": map[string]any{"stride": 4, "kv-token-bytes": 1000, "link-mbps": 10000}}, map[string]any{"name": "desk"},
 		},
 		"limits":  map[string]any{"max-body-bytes": 1000},
 		"tenants": []any{map[string]any{"name": "w", "api-keys": keys, "isolated": true}},
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -223,23 +223,13 @@
 	return hbs.PriorityLow
 }
 
-// levels returns the nested prefixes of a prompt. Keys of requests that may not
-// share a cached prefix differ.
+// levels returns the nested prefixes of a prompt.
 func levels(q *hbs.Request, parts []platform.PromptPart) []hbs.Level {
 	var ls []hbs.Level
-	d := xxhash.New()
-	add := func(text string) {
-		// Writes to a digest do not fail.
-		_, _ = d.WriteString(text)
-		_, _ = d.Write([]byte{0})
-	}
-	add(q.CacheScope)
-	add(string(q.Model))
 	tokens := 0
 	for _, p := range parts {
-		add(p.ID)
 		tokens += p.Tokens
-		ls = append(ls, hbs.Level{Key: hbs.LevelKey(d.Sum64()), Tokens: tokens})
+		ls = append(ls, hbs.Level{Key: levelKey(q.CacheScope, q.Model, p.ID), Tokens: tokens})
 	}
 	q.PromptTokens = max(q.PromptTokens, tokens)
 	if len(ls) > 0 {
@@ -248,6 +238,14 @@
 	return ls
 }
 
+// levelKey returns the key of the prefix that ends with a part. A part has one
+// place among prompts, so its id stands for all before it; engines name it alone
+// in their cache events. Keys of requests that may not share a cached prefix
+// differ.
+func levelKey(scope string, model hbs.ModelName, part string) hbs.LevelKey {
+	return hbs.LevelKey(xxhash.Sum64String(scope + "\x00" + string(model) + "\x00" + part))
+}
+
 // serves reports whether a service has a live endpoint.
 func (h *handler) serves(s hbs.ServiceName) bool {
 	r := h.directory.Roster()
--- a/gateway/serve_test.go
+++ b/gateway/serve_test.go
@@ -32,6 +32,24 @@
 		})
 	})
 
+	It("names the engine from which another one may load a prefix, though a different instance sent it there", func() {
+		in(func(f *fleet) {
+			f.Expect(f.do(talk(0)).status).To(Equal(http.StatusOK))
+			var first *pool.Endpoint
+			for _, e := range f.engines {
+				if len(e.Runs()) > 0 {
+					first = e
+				}
+			}
+			time.Sleep(2 * time.Second)
+			first.Fail(pool.Faults{Shed: true})
+			f.Expect(f.do(talk(1)).status).To(Equal(http.StatusOK))
+			all := runs(f.engines)
+			f.Expect(all).To(HaveLen(2))
+			f.Expect(all[0].Header.Get("X-Kv-Fetch") + all[1].Header.Get("X-Kv-Fetch")).To(Equal(first.Address.String()))
+		})
+	})
+
 	DescribeTable("refuses what may not run, and no endpoint sees it", func(c call, status int) {
 		in(func(f *fleet) {
 			a := f.do(c)
--- a/placement/candidates.go
+++ b/placement/candidates.go
@@ -75,7 +75,7 @@
 		return
 	}
 	m.seen = f.seen
-	m.cached, m.chance, m.home, m.ring = 0, 0, 0, rings
+	m.cached, m.found, m.home, m.ring = 0, 0, 0, rings
 	g.candidates = append(g.candidates, m)
 }
 
@@ -106,9 +106,9 @@
 			f.touch(g, m)
 			// A deeper level that is cached implies this one, so only a better
 			// chance adds anything.
-			if c := m.age.Chance(h.Idle, now); c > m.chance {
-				m.cached += float64(level.Tokens) * (c - m.chance)
-				m.chance = c
+			if c := m.chance(h.Idle, now); c > m.found {
+				m.cached += float64(level.Tokens) * (c - m.found)
+				m.found = c
 			}
 		}
 	}
--- a/placement/duties.go
+++ b/placement/duties.go
@@ -173,8 +173,25 @@
 }
 
 func (f *Fleet) apply(m *member, e *cacheevent.Event, now time.Time) {
-	f.meters.events.Inc(1)
+	key, err := e.Key()
 	switch e.Kind {
+	case cacheevent.KindStored:
+		if err != nil || e.Tokens > maxEventTokens {
+			return
+		}
+	case cacheevent.KindEvicted:
+		m.age.Evicted(seconds(e.AgeSeconds))
+		if err != nil || e.Tokens > 0 {
+			return
+		}
+	}
+	f.change(m, e.Kind, key, now)
+}
+
+// change applies a change of what m has cached.
+func (f *Fleet) change(m *member, kind cacheevent.Kind, key hbs.LevelKey, now time.Time) {
+	f.meters.events.Inc(1)
+	switch kind {
 	case cacheevent.KindGap:
 		f.meters.gaps.Inc(1)
 		m.age.Lost(now)
@@ -182,13 +199,33 @@
 		f.endLife(m)
 		f.beginLife(m)
 	case cacheevent.KindStored:
-		if key, err := e.Key(); err == nil && e.Tokens <= maxEventTokens {
-			f.table.Put(key, m.life, now)
-		}
+		f.table.Put(key, m.life, now)
 	case cacheevent.KindEvicted:
-		m.age.Evicted(seconds(e.AgeSeconds))
-		if key, err := e.Key(); err == nil && e.Tokens == 0 {
-			f.table.Drop(key, m.life)
-		}
+		f.table.Drop(key, m.life)
+	}
+}
+
+// TakeCached takes a change of what an endpoint with these weights has cached,
+// where the events come from elsewhere than this package's readers. The key of a
+// gap or of a cleared cache has no meaning.
+func (f *Fleet) TakeCached(id hbs.EndpointID, weights hbs.WeightsVersion, kind cacheevent.Kind, key hbs.LevelKey) {
+	f.start()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.members[id]
+	if m == nil || m.life == 0 || weights != "" && weights != m.rec.Weights {
+		return
+	}
+	f.change(m, kind, key, time.Now())
+}
+
+// TakeHeard tells that an endpoint's cache events are read up to now, so that
+// what is believed of it does not fade.
+func (f *Fleet) TakeHeard(id hbs.EndpointID) {
+	f.start()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m := f.members[id]; m != nil {
+		m.heard = time.Now()
 	}
 }
--- a/placement/member.go
+++ b/placement/member.go
@@ -33,10 +33,13 @@
 	identity belief.Identity
 	life     belief.Life
 	age      belief.Age
-	ledger   load.Ledger
-	score    straggler.Score
-	group    *group
-	domain   *domain
+	// heard is when the endpoint's cache events were last known to be read up to
+	// date by TakeHeard.
+	heard  time.Time
+	ledger load.Ledger
+	score  straggler.Score
+	group  *group
+	domain *domain
 
 	// failures counts failures in a row; no new work goes here before paused.
 	balance  balance
@@ -46,9 +49,9 @@
 	// The rest belongs to one decision; seen tells which.
 	seen uint64
 
-	// cached is the number of prompt tokens expected to be cached, chance the
+	// cached is the number of prompt tokens expected to be cached, found the
 	// probability of the deepest level found so far.
-	cached, chance float64
+	cached, found float64
 	// believed is cached without the credit for what peers sent to its home.
 	believed float64
 	// held is the number of prompt tokens believed cached before anything is loaded.
@@ -92,6 +95,17 @@
 	cutPause = 2 * time.Second
 )
 
+// heardTTL is how long beliefs need not fade after the events were read.
+const heardTTL = 4 * time.Second
+
+// chance returns the probability that a prefix unused for idle is still cached.
+func (m *member) chance(idle time.Duration, now time.Time) float64 {
+	if now.Sub(m.heard) < heardTTL {
+		idle = 0
+	}
+	return m.age.Chance(idle, now)
+}
+
 func hashID[T ~string](id T) uint64 { return xxhash.Sum64String(string(id)) }
 
 // succeeded tells that the endpoint answered.
--- a/standin/pool/pool.go
+++ b/standin/pool/pool.go
@@ -68,7 +68,10 @@
 	weights int64
 	state   string
 	loading bool
-	canceld int
+	// canceled counts requests whose sender left before the end.
+	canceled int
+	// stored are the cache events, one for each part that was computed.
+	stored [][]any
 }
 
 // Order is one order that the endpoint took.
@@ -169,7 +172,7 @@
 func (e *Endpoint) Canceled() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.canceld
+	return e.canceled
 }
 
 // Serve serves until ctx ends.
@@ -182,6 +185,7 @@
 	m := http.NewServeMux()
 	m.HandleFunc("GET /v1/report", e.serveReport)
 	m.HandleFunc("POST /v1/order", e.serveOrder)
+	m.HandleFunc("GET /v1/kv-events", e.serveCacheEvents)
 	m.HandleFunc("/", e.serveRequest)
 	srv := &http.Server{Handler: m}
 	var wg conc.WaitGroup
@@ -281,6 +285,7 @@
 		return true, f
 	}
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	e.store(r.Header)
 	e.runs = append(e.runs, Run{r.Header.Get("X-Request-Id"), r.RequestURI, string(body), r.Header.Clone(), after})
 	return false, e.faults
 }
@@ -288,7 +293,7 @@
 func (e *Endpoint) left() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.canceld++
+	e.canceled++
 }
 
 // stream sends the events after the one that the sender has.
