placement, gateway: use the store of kept KV cache by its own events

Change: instances read the store's events as well. An engine that is expected to compute a shared prefix is asked to put it there, one that lacks what the store has is told to load it, for the weights that made it.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -23,6 +23,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"net/url"
 	"strings"
 	"time"
@@ -50,6 +51,9 @@
 	// EventTokens returns the number of tokens in one event of a service's streams;
 	// nil is 1.
 	EventTokens func(hbs.ServiceName) int
+	// Store returns the address of the store of kept KV cache, not valid without
+	// one; nil is none.
+	Store func() netip.AddrPort
 	// Misplaced is called when an endpoint said that it is not the one that was
 	// meant, or has other weights; may be nil.
 	Misplaced func(e *hbs.Endpoint, a *platform.Answer)
@@ -136,6 +140,9 @@
 		LoadFrom:   r.Placement.LoadFrom,
 		After:      r.After,
 	}
+	if r.Store != nil {
+		r.useStore(&t)
+	}
 	if d := r.Request.Deadline; !d.IsZero() {
 		t.Left = max(time.Until(d), time.Millisecond)
 	}
@@ -143,6 +150,17 @@
 	return h
 }
 
+// useStore sets what the endpoint takes from the store of kept KV cache and puts
+// there.
+func (r *run) useStore(t *platform.EndpointTerms) {
+	if p := r.Placement; p.LoadKept && !t.LoadFrom.IsValid() {
+		t.LoadFrom = r.Store()
+	}
+	if r.Placement.KeepTokens > 0 {
+		t.SaveTo = r.Store()
+	}
+}
+
 // urgency maps the priorities of package admission to 0 to 1.
 func urgency(priority int) float64 { return float64(priority) / leastUrgent }
 
--- a/gateway/cachefeed.go
+++ b/gateway/cachefeed.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,6 +17,7 @@
 	"github.com/hornbeamstage/hornbeamstage/cacheevent"
 	"github.com/hornbeamstage/hornbeamstage/delay"
 	"github.com/hornbeamstage/hornbeamstage/network"
+	"github.com/hornbeamstage/hornbeamstage/placement"
 	"github.com/hornbeamstage/hornbeamstage/platform"
 )
 
@@ -37,7 +39,8 @@
 	maxParts = 1 << 14
 )
 
-// cacheFeed reads the cache events of all engines.
+// cacheFeed reads the cache events of all engines and of the store of kept KV
+// cache.
 type cacheFeed struct {
 	*Gateway
 	client *http.Client
@@ -78,10 +81,14 @@
 		if f.readers[e.ID] != nil {
 			continue
 		}
-		reading, end := context.WithCancel(ctx)
-		f.readers[e.ID] = end
-		reader := &cacheReader{cacheFeed: f, engine: e, parts: map[hbs.LevelKey]int{}}
-		f.wg.Go(func() { reader.run(reading) })
+		f.read(ctx, &cacheReader{source: e.Address, expect: e.ID, sink: &engineSink{f.fleet, e.ID}}, e.ID)
+	}
+	if store := f.table.storeAddress(); store.IsValid() {
+		id := hbs.EndpointID(store.String())
+		listed[id] = true
+		if f.readers[id] == nil {
+			f.read(ctx, &cacheReader{source: store, sink: &keptSink{f.fleet}}, id)
+		}
 	}
 	for id, end := range f.readers {
 		if !listed[id] {
@@ -91,10 +98,55 @@
 	}
 }
 
-// cacheReader reads the events of one engine.
+// read starts a reader under a name.
+func (f *cacheFeed) read(ctx context.Context, r *cacheReader, name hbs.EndpointID) {
+	ctx, f.readers[name] = context.WithCancel(ctx)
+	r.cacheFeed, r.parts = f, map[hbs.LevelKey]int{}
+	f.wg.Go(func() { r.run(ctx) })
+}
+
+// cacheSink takes what a reader reads.
+type cacheSink interface {
+	// take takes a change of a part that is cached for these weights; that of a gap
+	// or of a cleared cache has neither.
+	take(kind cacheevent.Kind, weights hbs.WeightsVersion, key hbs.LevelKey)
+	// heard tells that everything up to now was taken.
+	heard()
+}
+
+// engineSink takes the events of one engine.
+type engineSink struct {
+	fleet *placement.Fleet
+	id    hbs.EndpointID
+}
+
+func (s *engineSink) take(kind cacheevent.Kind, weights hbs.WeightsVersion, key hbs.LevelKey) {
+	s.fleet.TakeCached(s.id, weights, kind, key)
+}
+
+func (s *engineSink) heard() { s.fleet.TakeHeard(s.id) }
+
+// keptSink takes the events of the store of kept KV cache.
+type keptSink struct{ fleet *placement.Fleet }
+
+func (s *keptSink) take(kind cacheevent.Kind, weights hbs.WeightsVersion, key hbs.LevelKey) {
+	switch kind {
+	case cacheevent.KindCleared, cacheevent.KindGap:
+		s.fleet.TakeKeptCleared()
+	default:
+		s.fleet.TakeKept(weights, key, kind == cacheevent.KindStored)
+	}
+}
+
+func (s *keptSink) heard() {}
+
+// cacheReader reads the events of one engine or store.
 type cacheReader struct {
 	*cacheFeed
-	engine hbs.Endpoint
+	source netip.AddrPort
+	// expect is empty for a store.
+	expect hbs.EndpointID
+	sink   cacheSink
 	epoch  string
 	next   int64
 	// parts has the most that was cached of each part.
@@ -118,7 +170,7 @@
 		}
 		if err != nil && ctx.Err() == nil {
 			metrics.GetOrRegisterCounter(meterCacheFailures, r.Metrics).Inc(1)
-			r.Log.Debug("cache events not read", zap.String("endpoint", string(r.engine.ID)), zap.Error(err))
+			r.Log.Debug("cache events not read", zap.Stringer("from", r.source), zap.Error(err))
 		}
 		if delay.For(ctx, pause+rand.N(pause/4)) != nil {
 			return
@@ -130,12 +182,14 @@
 	defer func() { err = errors.Wrap(err, "ask for cache events") }()
 	ctx, cancel := context.WithTimeout(ctx, cacheTimeout)
 	defer cancel()
-	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.engine.Address.String()+platform.CacheEventsPath(r.next), nil)
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.source.String()+platform.CacheEventsPath(r.next), nil)
 	if err != nil {
 		return p, err
 	}
 	platform.SetCacheWait(q.Header, cacheWait)
-	platform.SetExpected(q.Header, r.engine.ID)
+	if r.expect != "" {
+		platform.SetExpected(q.Header, r.expect)
+	}
 	res, err := r.client.Do(q)
 	if err != nil {
 		return p, err
@@ -155,21 +209,20 @@
 
 // take applies a page of events.
 func (r *cacheReader) take(p *platform.CachePage) {
-	id := r.engine.ID
 	switch {
 	case r.epoch != "" && p.Epoch != r.epoch:
-		r.fleet.TakeCached(id, "", cacheevent.KindCleared, 0)
+		r.sink.take(cacheevent.KindCleared, "", 0)
 		r.parts = map[hbs.LevelKey]int{}
 	case p.Gap && r.epoch != "":
-		r.fleet.TakeCached(id, "", cacheevent.KindGap, 0)
+		r.sink.take(cacheevent.KindGap, "", 0)
 	}
 	r.epoch, r.next = p.Epoch, p.Next
 	for i := range p.Events {
 		e := &p.Events[i]
 		key := levelKey(e.Scope, e.Model, e.Part)
-		r.fleet.TakeCached(id, e.Weights, r.kind(key, e.Tokens), key)
+		r.sink.take(r.kind(key, e.Tokens), e.Weights, key)
 	}
-	r.fleet.TakeHeard(id)
+	r.sink.heard()
 }
 
 // kind tells whether a part of which so many tokens are cached counts as cached.
--- a/gateway/feeds.go
+++ b/gateway/feeds.go
@@ -108,6 +108,7 @@
 		return e, false
 	}
 	e.Revision = obj.Revision
+	e.Capabilities.KVTransfer = e.Kind == hbs.KindEngine
 	return e, true
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -173,10 +173,12 @@
 	g.fleet = &placement.Fleet{
 		Directory: g.directory, Policy: g.policy, Self: self, Network: g.Network, Metrics: g.Metrics,
 		Seed: g.Seed, Log: g.Log.Named("placement"), Scope: placement.ScopeRegion, EvenHomes: true, Transfer: g.table.transferRate, HomeLoad: homeLoad,
+		KeptHeard: true, Keeps: func() bool { return g.table.store() != nil },
 	}
 	sender := &forward.Sender{
 		Network: g.Network, Policy: g.policy, Metrics: g.Metrics,
 		EventTokens: g.table.eventTokens,
+		Store:       g.table.storeAddress,
 		Misplaced:   func(e *hbs.Endpoint, a *platform.Answer) { g.directory.Misplaced(e.ID, e.Weights, a.Weights) },
 	}
 	g.dispatcher = &dispatch.Dispatcher{
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net/netip"
 	"sync"
 	"time"
 
@@ -72,3 +73,21 @@
 // transferRate returns how many tokens of cache engines of a service load from
 // each other in a second.
 func (s *tables) transferRate(name hbs.ServiceName) float64 { return s.service(name).TransferRate }
+
+// store returns the store of kept KV cache, nil when there is none.
+func (s *tables) store() *route.Store {
+	t := s.now()
+	if t == nil {
+		return nil
+	}
+	return t.Store()
+}
+
+// storeAddress returns the address of the store of kept KV cache; not valid when
+// there is none.
+func (s *tables) storeAddress() (addr netip.AddrPort) {
+	if store := s.store(); store != nil {
+		return store.Address
+	}
+	return addr
+}
--- a/placement/booking.go
+++ b/placement/booking.go
@@ -15,9 +15,10 @@
 	load   load.Booking
 	member *member
 	// life is the endpoint's life when the attempt was placed.
-	life   belief.Life
-	levels []hbs.Level
-	prompt int
+	life    belief.Life
+	weights hbs.WeightsVersion
+	levels  []hbs.Level
+	prompt  int
 	// keep holds the levels that the engine was asked to put into the store.
 	keep []hbs.Level
 	// queued is the number of tokens to compute before the prompt, cached the
@@ -69,7 +70,7 @@
 	now := time.Now()
 	b.member.ledger.Prefilled(&b.load, now)
 	b.member.succeeded()
-	f.keeping(b.keep, now)
+	f.keeping(b.keep, b.weights, now)
 	if cached < 0 {
 		f.judgeUnknown(b, after, now)
 	}
--- a/placement/candidates.go
+++ b/placement/candidates.go
@@ -65,7 +65,6 @@
 // begin starts a decision without candidates.
 func (f *Fleet) begin(g *group) {
 	f.seen++
-	g.kept = hbs.Level{}
 	g.candidates = g.candidates[:0]
 }
 
@@ -130,7 +129,6 @@
 	if n := f.heat.Known(req.Levels); n > 0 {
 		g.shared = float64(req.Levels[n-1].Tokens)
 	}
-	g.kept = f.kept.longest(req.Levels, now)
 	f.sizes = f.heat.Sizes(req.Levels, now, f.sizes[:0])
 	covered := 0
 	for i, level := range req.Levels {
--- a/placement/cost.go
+++ b/placement/cost.go
@@ -70,7 +70,7 @@
 	if m.believed = m.cached; m.ring == 0 && len(req.Levels) > 0 {
 		m.cached += g.rates.credit * max(0, prompt-m.cached)
 	}
-	f.importable(g, m)
+	f.importable(g, m, req, now)
 	m.cached += m.imported
 	miss := max(0, prompt-m.cached)
 
@@ -148,7 +148,7 @@
 		f.meters.spills.Inc(1)
 		f.tell(m, req, now)
 	}
-	b := &booking{member: m, life: m.life, levels: req.Levels, prompt: req.PromptTokens}
+	b := &booking{member: m, life: m.life, weights: m.rec.Weights, levels: req.Levels, prompt: req.PromptTokens}
 	b.load.Started = now
 	b.load.Expected = first
 	b.load.Favoured = req.Favoured
@@ -163,7 +163,7 @@
 	b.slowness = m.score.Slowness()
 	f.bookings[p.Attempt] = b
 	m.ledger.Start(&b.load)
-	p.LoadKept = f.usesStore(g, m)
+	p.LoadKept = f.usesStore(g, m) && (m.kept > 0 || !f.KeptHeard)
 	p.LoadFrom = f.loadFrom(g, m, req)
 	if n := f.keep(g, m, req); n > 0 {
 		p.KeepTokens = req.Levels[n-1].Tokens
--- a/placement/fleet.go
+++ b/placement/fleet.go
@@ -80,6 +80,11 @@
 	// HomeLoad is the demand, in engines, from which the home of a prefix gets
 	// another endpoint; 0 leaves it to package heat.
 	HomeLoad float64
+	// KeptHeard tells that TakeKept says what the store of kept KV cache has, so
+	// that it is asked for nothing else.
+	KeptHeard bool
+	// Keeps reports whether there is a store of kept KV cache; nil if there is.
+	Keeps func() bool
 	// Transfer returns how many tokens of cache an engine of a pool loads from
 	// another one in a second, 0 where they can't; nil is 0.
 	Transfer func(hbs.ServiceName) float64
--- a/placement/group.go
+++ b/placement/group.go
@@ -35,8 +35,11 @@
 	candidates, set []*member
 	// homes are the endpoints in the set of the whole prompt.
 	homes []*member
-	// kept is the longest prefix of the prompt that can be imported.
-	kept hbs.Level
+	// kept is the longest prefix of the prompt that is kept for keptWeights, as of
+	// the decision keptSeen.
+	kept        hbs.Level
+	keptWeights hbs.WeightsVersion
+	keptSeen    uint64
 	// sources are the two endpoints that are believed to have most of the prompt
 	// cached, the first one in front; nil where there is none.
 	sources [2]*member
--- a/placement/kept.go
+++ b/placement/kept.go
@@ -29,19 +29,25 @@
 // not told: an engine finds what they had put there all the same, and what an
 // instance puts there twice is moved once. The value is the time until which a
 // prefix counts as kept.
-type kept map[hbs.LevelKey]time.Time
+type kept map[keptKey]time.Time
 
-// longest returns the longest of the levels that is kept.
-func (k kept) longest(levels []hbs.Level, now time.Time) (found hbs.Level) {
+// keptKey names a prefix and the weights that made it.
+type keptKey struct {
+	level   hbs.LevelKey
+	weights hbs.WeightsVersion
+}
+
+// longest returns the longest of the levels that is kept for these weights.
+func (k kept) longest(levels []hbs.Level, weights hbs.WeightsVersion, now time.Time) (found hbs.Level) {
 	for i := len(levels) - 1; i >= 0; i-- {
-		if now.Before(k[levels[i].Key]) {
+		if now.Before(k[keptKey{levels[i].Key, weights}]) {
 			return levels[i]
 		}
 	}
 	return hbs.Level{}
 }
 
-func (k kept) add(key hbs.LevelKey, now time.Time) {
+func (k kept) add(key keptKey, now time.Time) {
 	if len(k) < maxKept {
 		k[key] = now.Add(keptTTL)
 	}
@@ -64,32 +70,74 @@
 	if n <= 0 || !f.usesStore(g, m) {
 		return 0
 	}
-	if req.Levels[n-1].Tokens < g.kept.Tokens+g.tuning.keepGain {
+	shared := req.Levels[n-1].Tokens
+	if shared < f.keptFor(g, m, req, time.Now()).Tokens+g.tuning.keepGain {
+		return 0
+	}
+	if 2*m.held > float64(shared) {
+		// What the engine has it does not compute, and it puts only what it computes
+		// into the store.
 		return 0
 	}
 	return n
 }
 
+// keptFor returns the longest prefix of the prompt that is kept for the weights
+// of m.
+func (f *Fleet) keptFor(g *group, m *member, req *hbs.Request, now time.Time) hbs.Level {
+	if g.keptSeen != f.seen || g.keptWeights != m.rec.Weights {
+		g.kept = f.kept.longest(req.Levels, m.rec.Weights, now)
+		g.keptSeen, g.keptWeights = f.seen, m.rec.Weights
+	}
+	return g.kept
+}
+
+// TakeKept takes word of the store of kept KV cache: whether it has a prefix that
+// these weights made.
+func (f *Fleet) TakeKept(weights hbs.WeightsVersion, key hbs.LevelKey, there bool) {
+	f.start()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if there {
+		f.kept.add(keptKey{key, weights}, time.Now())
+		return
+	}
+	delete(f.kept, keptKey{key, weights})
+}
+
+// TakeKeptCleared takes word that the store of kept KV cache is empty.
+func (f *Fleet) TakeKeptCleared() {
+	f.start()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.kept = kept{}
+}
+
 // usesStore tells whether m may use the store of kept KV cache.
 func (f *Fleet) usesStore(g *group, m *member) bool {
-	return m.rec.Capabilities.KVTransfer && m.rec.Weights != "" && g.tuning.importRate > 1
+	return m.rec.Capabilities.KVTransfer && m.rec.Weights != "" && g.tuning.importRate > 1 && g.tuning.keeps
 }
 
 // keeping takes the levels that an engine has computed and puts into the store.
-func (f *Fleet) keeping(levels []hbs.Level, now time.Time) {
+func (f *Fleet) keeping(levels []hbs.Level, weights hbs.WeightsVersion, now time.Time) {
 	for _, l := range levels {
-		if l.Tokens < minKept || now.Before(f.kept[l.Key]) {
+		key := keptKey{l.Key, weights}
+		if l.Tokens < minKept || now.Before(f.kept[key]) {
 			continue
 		}
-		f.kept.add(l.Key, now)
+		f.kept.add(key, now)
 	}
 }
 
 // importable sets how much of the prompt m would load from the store of kept KV
 // cache or from another engine, and the time for it.
-func (f *Fleet) importable(g *group, m *member) {
+func (f *Fleet) importable(g *group, m *member, req *hbs.Request, now time.Time) {
 	m.kept, m.imported, m.importTime = 0, 0, 0
-	if missing := float64(g.kept.Tokens) - m.cached; missing > 0 && f.usesStore(g, m) {
+	if !f.usesStore(g, m) {
+		g.loadable(m)
+		return
+	}
+	if missing := float64(f.keptFor(g, m, req, now).Tokens) - m.cached; missing > 0 {
 		m.kept = missing
 		m.imported = missing * g.rates.store
 		m.importTime = importBase + missing/g.tuning.importRate
@@ -123,7 +171,7 @@
 	f.meters.loadMisses.Inc(1)
 	for _, l := range b.levels {
 		if float64(l.Tokens) > cached {
-			delete(f.kept, l.Key)
+			delete(f.kept, keptKey{l.Key, b.weights})
 		}
 	}
 }
--- a/placement/knobs.go
+++ b/placement/knobs.go
@@ -120,6 +120,8 @@
 	// importRate is in tokens a second, as is transferRate, that between engines; 0
 	// where they can't load from each other.
 	importRate, transferRate float64
+	// keeps tells that there is a store of kept KV cache.
+	keeps bool
 	// keepGain is in tokens.
 	keepGain int
 }
@@ -147,6 +149,7 @@
 		importRate:     max(1, f.Policy.Number(keyImportRate, at)),
 		keepGain:       int(f.Policy.Number(keyKeepGain, at)),
 		hop:            f.Policy.Duration(keyHop, at).Seconds(),
+		keeps:          f.Keeps == nil || f.Keeps(),
 	}
 	if f.Transfer != nil {
 		g.tuning.transferRate = f.Transfer(g.key.service)
--- a/placement/source.go
+++ b/placement/source.go
@@ -59,7 +59,8 @@
 
 // loadFrom returns the engine from which an attempt at m may load.
 func (f *Fleet) loadFrom(g *group, m *member, req *hbs.Request) (from netip.AddrPort) {
-	if g.tuning.transferRate == 0 || len(req.Levels) == 0 {
+	if g.tuning.transferRate == 0 || len(req.Levels) == 0 || m.kept > 0 {
+		// The store has more where kept is set.
 		return from
 	}
 	if s := g.source(m); s != nil && s.held >= m.held+minLoad {
