--- /dev/null
+++ b/placement/apart_test.go
@@ -0,0 +1,131 @@
+package placement_test
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	hbs "github.com/hornbeamstage/hornbeamstage"
+	"github.com/hornbeamstage/hornbeamstage/cacheevent"
+	"github.com/hornbeamstage/hornbeamstage/placement"
+)
+
+// apart returns instances that do not hear each other, before engines that load
+// prefixes from each other and that have addresses of their own.
+func apart(instances, engines int) (fs []*placement.Fleet, d *directory) {
+	d = newDirectory(engines)
+	d.edit(func(r *hbs.Roster) {
+		for i := range r.Endpoints {
+			r.Endpoints[i].Address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80)
+			r.Endpoints[i].Slots = 128
+			r.Endpoints[i].Capabilities.KVTransfer = true
+		}
+	})
+	for i := range instances {
+		f := newFleet(d, hbs.DomainName("abc"[i%3:i%3+1]))
+		f.Seed, f.EvenHomes, f.HomeLoad, f.KeptHeard = uint64(i+1), true, 0.1, true
+		f.Transfer = func(hbs.ServiceName) float64 { return 1e6 }
+		fs = append(fs, f)
+	}
+	return fs, d
+}
+
+var _ = Describe("instances that do not hear each other", func() {
+	// Four codes, each with many cases: the first levels of Tambuli's prompts.
+	It("spread a few first levels with many prompts below over all engines", func() {
+		bubble(func(g Gomega) {
+			fs, _ := apart(7, 12)
+			prompts := map[hbs.EndpointID]int{}
+			for i := range 3000 {
+				f := fs[i%len(fs)]
+				code := hbs.LevelKey(1 + i%4)
+				p := mustPlace(g, f, request(code, 100+hbs.LevelKey(i*7919%169)*4+code, hbs.LevelKey(1e6+i)))
+				prompts[p.Endpoint.ID]++
+				// What all instances have there, as the engine tells it with an answer.
+				f.TakeLoad(p.Endpoint.ID, len(fs), 0)
+				complete(f, p, "1", -1)
+				time.Sleep(25 * time.Millisecond)
+			}
+			g.Expect(prompts).To(HaveLen(12))
+			for id, n := range prompts {
+				g.Expect(n).To(BeNumerically("<", 2*3000/12), string(id))
+			}
+		})
+	})
+
+	It("know by an engine's events what another instance sent there, and load from it", func() {
+		bubble(func(g Gomega) {
+			fs, d := apart(2, 12)
+			p := mustPlace(g, fs[0], request(1, 2, 3))
+			complete(fs[0], p, "1", -1)
+			for _, key := range []hbs.LevelKey{1, 2} {
+				fs[1].TakeCached(p.Endpoint.ID, "w1", cacheevent.KindStored, key)
+			}
+			q := mustPlace(g, fs[1], request(1, 2, 4), p.Endpoint.ID)
+			g.Expect(q.LoadFrom).To(Equal(p.Endpoint.Address))
+			fs[1].Finish(&q, hbs.AttemptResult{End: hbs.EndCanceled})
+			fs[1].TakeCached(p.Endpoint.ID, "w1", cacheevent.KindEvicted, 2)
+			fs[1].TakeCached(p.Endpoint.ID, "w1", cacheevent.KindEvicted, 1)
+			fs[1].TakeCached(p.Endpoint.ID, "w0", cacheevent.KindStored, 2)
+			g.Expect(mustPlace(g, fs[1], request(1, 2, 5)).CachedTokens).To(BeZero(), "what older weights made is not there")
+			g.Expect(d.roster.Endpoints).To(HaveLen(12))
+		})
+	})
+
+	It("keep believing an engine whose events they read", func() {
+		bubble(func(g Gomega) {
+			fs, _ := apart(1, 1)
+			complete(fs[0], mustPlace(g, fs[0], request(1, 2)), "1", -1)
+			for range 300 {
+				time.Sleep(time.Second)
+				fs[0].TakeHeard("engine-000")
+			}
+			p := mustPlace(g, fs[0], request(1, 2))
+			g.Expect(p.CachedTokens).To(Equal(2000))
+			fs[0].Finish(&p, hbs.AttemptResult{End: hbs.EndCanceled})
+			time.Sleep(5 * time.Minute)
+			g.Expect(mustPlace(g, fs[0], request(1, 2)).CachedTokens).To(BeZero())
+		})
+	})
+
+	It("put into the store what an engine computes, and load what the store has for its weights", func() {
+		bubble(func(g Gomega) {
+			fs, _ := apart(1, 2)
+			f := fs[0]
+			first := mustPlace(g, f, request(1, 2, 3))
+			g.Expect(first.KeepTokens).To(Equal(2000))
+			g.Expect(first.LoadKept).To(BeFalse())
+			f.Finish(&first, hbs.AttemptResult{End: hbs.EndBroken})
+			for _, key := range []hbs.LevelKey{1, 2} {
+				f.TakeKept("w0", key, true)
+			}
+			older := mustPlace(g, f, request(1, 2, 3))
+			g.Expect(older.LoadKept).To(BeFalse(), "the store has it for older weights")
+			f.Finish(&older, hbs.AttemptResult{End: hbs.EndBroken})
+			for _, key := range []hbs.LevelKey{1, 2} {
+				f.TakeKept("w1", key, true)
+			}
+			p := mustPlace(g, f, request(1, 2, 3))
+			g.Expect(p.LoadKept).To(BeTrue())
+			g.Expect(p.KeepTokens).To(BeZero())
+			f.Finish(&p, hbs.AttemptResult{End: hbs.EndBroken})
+			f.TakeKeptCleared()
+			g.Expect(mustPlace(g, f, request(1, 2, 3)).LoadKept).To(BeFalse())
+		})
+	})
+
+	It("take the load that an endpoint tells, so that a full one is left alone", func() {
+		bubble(func(g Gomega) {
+			fs, _ := apart(1, 3)
+			f := fs[0]
+			home := mustPlace(g, f, request(1))
+			complete(f, home, "1", -1)
+			f.TakeLoad(home.Endpoint.ID, 500, 300)
+			q := mustPlace(g, f, request(1))
+			g.Expect(q.Endpoint.ID).NotTo(Equal(home.Endpoint.ID), fmt.Sprint(q))
+		})
+	})
+})
