--- a/admission/predict.go
+++ b/admission/predict.go
@@ -16,6 +16,9 @@
 	if d := w.req.Deadline; !d.IsZero() && d.Add(-w.service).Before(at) {
 		at = d.Add(-w.service)
 	}
+	if by := w.req.FirstBy; !by.IsZero() && by.Before(at) {
+		at = by
+	}
 	return at, true
 }
 
@@ -46,7 +49,7 @@
 	}
 	delay, decode := seconds(*q.pace.delay(p)), q.pace.decode(w.req, w.flow.ratio)
 	need := p.FirstToken + delay + decode
-	if need <= time.Until(w.req.Deadline) {
+	if need <= time.Until(w.req.Deadline) && q.startsInTime(w.req, p.FirstToken+delay) {
 		return nil
 	}
 	q.pace.relax(p)
@@ -56,6 +59,12 @@
 		need.Round(time.Millisecond), p.FirstToken.Round(time.Millisecond), delay.Round(time.Millisecond), decode.Round(time.Millisecond)), minRetryAfter)
 }
 
+// startsInTime tells whether a first token that comes after first comes before the
+// caller gives it up.
+func (q *queue) startsInTime(req *hbs.Request, first time.Duration) bool {
+	return req.FirstBy.IsZero() || first <= time.Until(req.FirstBy)
+}
+
 // wait predicts how long w waits, itself included (rule 6).
 func (q *queue) wait(w *waiter) time.Duration {
 	l := q.lane(w)
--- a/converge/converge.go
+++ b/converge/converge.go
@@ -51,7 +51,7 @@
 	// order was taken.
 	Patience = 6 * time.Second
 	// tellTime is how long instances take to learn that an engine changes.
-	tellTime = 30 * time.Millisecond
+	tellTime = 120 * time.Millisecond
 	// suspendSlack is above the error of Suspended.
 	suspendSlack = 20 * time.Millisecond
 	// changeShare is the part of a model's engines that may change at once.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -113,8 +113,8 @@
 	req  *hbs.Request
 	gate hbs.Gate
 	sink hbs.Sink
-	// tries counts the attempts, avoid their endpoints.
-	tries int
+	// tries counts the attempts, sent those that were sent, avoid their endpoints.
+	tries, sent int
 	avoid []hbs.EndpointID
 	// ran: an attempt may have run.
 	ran bool
@@ -130,7 +130,7 @@
 	for {
 		res := s.attempts(ctx, p)
 		s.after = res.LastEvent
-		if !s.retries.Allow(s.req, &res, s.tries) {
+		if !s.retries.Allow(s.req, &res, s.tries, s.sent) {
 			return s.conclude(&res)
 		}
 		next, ok := s.placeAgain(ctx, &res)
@@ -215,6 +215,9 @@
 
 // note keeps what an ended attempt means for the outcome (rule 4).
 func (s *serving) note(res *attempt.Result) {
+	if res.End != hbs.EndUnreached {
+		s.sent++
+	}
 	if res.Refusal == nil || res.Refusal.Outcome != hbs.OutcomeNotRun {
 		s.ran = true
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"go.uber.org/zap"
 
 	hbs "github.com/hornbeamstage/hornbeamstage"
+	"github.com/hornbeamstage/hornbeamstage/attempt"
 	"github.com/hornbeamstage/hornbeamstage/converge"
 	"github.com/hornbeamstage/hornbeamstage/delay"
 	"github.com/hornbeamstage/hornbeamstage/dispatch"
@@ -54,6 +55,9 @@
 	retryShare = 0.75
 	// retryBurst is how many retries an instance may make at once.
 	retryBurst = 4
+	// connectTimeout bounds a connection to an endpoint. It is many round trips
+	// within a region and well below callers' objectives.
+	connectTimeout = 200 * time.Millisecond
 	// leaseTime, leaseRenew and leaseMargin are those of the one lease under which
 	// engines get orders. They are short, as engines have to follow within seconds.
 	leaseTime   = 3 * time.Second
@@ -152,6 +156,7 @@
 	b := g.Boot
 	g.policy = knob.NewFixed(g.Knobs).
 		With(hedge.KnobOn, 0).
+		With(attempt.KnobConnectTimeout, connectTimeout.Seconds()).
 		With(retry.KnobShare, retryShare*b.Bounds.RetryRatio).
 		With(retry.KnobBurst, retryBurst).
 		With(lease.KnobDuration, leaseTime.Seconds()).
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -195,6 +195,9 @@
 	}
 	q.Priority = priorityOf(rank)
 	q.Deadline = x.deadline()
+	if q.Stream {
+		q.FirstBy = q.Arrived.Add(x.route.Patience)
+	}
 	if q.Model != "" {
 		q.PromptTokens, q.ExpectedTokens = t.PromptTokens, max(t.OutputTokens, 1)
 		q.Levels = levels(q, t.Prompt)
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -15,7 +15,9 @@
 //	L3. Another instance takes the lease over after it has seen one revision
 //	    unchanged for the value's duration and the lifetime of an order on the
 //	    wire, counted from after its first read of that revision. A renewal that
-//	    takes effect late changes the revision and starts the count anew.
+//	    takes effect late changes the revision and starts the count anew. Reads may
+//	    be behind: the takeover is conditional on that revision, so it takes effect
+//	    only if nothing changed in all that time.
 //	L4. Each takeover raises the fencing number by one. An instance that lost its
 //	    grant comes back by L3 only, its own earlier lease included.
 //	L5. A renewal whose answer was lost is sent again unchanged, and once it is
--- a/lease/seek.go
+++ b/lease/seek.go
@@ -17,7 +17,7 @@
 func (k *Keeper) seek(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, k.duration(KnobCallTimeout))
 	defer cancel()
-	stored, err := k.writer().Get(ctx, hbs.ObjectLease, k.name())
+	stored, err := k.writer().GetStale(ctx, hbs.ObjectLease, k.name())
 	switch {
 	case object.Is(err, hbs.ErrNotFound):
 		k.take(ctx, hbs.Object{}, 1)
--- a/network/network.go
+++ b/network/network.go
@@ -17,6 +17,10 @@
 // DialTimeout bounds one connection attempt.
 const DialTimeout = time.Second
 
+// keepAlive finds a connection dead about 3 s after the other end fell silent
+// for good. Whole seconds are the finest that it takes.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
+
 // TCP is the operating system's network.
 type TCP struct{}
 
@@ -29,7 +33,7 @@
 // Dial implements hornbeamstage.Network.
 func (TCP) Dial(ctx context.Context, addr netip.AddrPort) (conn net.Conn, err error) {
 	defer func() { err = errors.Wrapf(err, "dial %s", addr) }()
-	d := net.Dialer{Timeout: DialTimeout}
+	d := net.Dialer{Timeout: DialTimeout, KeepAliveConfig: keepAlive}
 	return d.DialContext(ctx, "tcp", addr.String())
 }
 
--- a/object/object.go
+++ b/object/object.go
@@ -123,6 +123,21 @@
 	return stored, err
 }
 
+// GetStale reads one object, once, as it may have been a while ago where that is
+// cheaper.
+func (w *Writer) GetStale(ctx context.Context, kind hbs.ObjectKind, name string) (hbs.Object, error) {
+	stale, ok := w.Platform.(hbs.StaleReader)
+	if !ok {
+		return w.Get(ctx, kind, name)
+	}
+	count(w.Reads)
+	ctx, cancel := context.WithTimeout(ctx, w.CallTimeout)
+	defer cancel()
+	stored, err := stale.GetStale(ctx, kind, name)
+	w.Health.observe(err)
+	return stored, err
+}
+
 // Delete removes one object, once.
 func (w *Writer) Delete(ctx context.Context, obj hbs.Object) error {
 	count(w.Writes)
--- a/platform.go
+++ b/platform.go
@@ -86,3 +86,10 @@
 	// old; the caller lists again.
 	Watch(ctx context.Context, kind ObjectKind, since Revision, events chan<- WatchEvent) error
 }
+
+// StaleReader is implemented by a Platform that has a cheaper read which may be
+// behind, and never ahead of, the newest state.
+type StaleReader interface {
+	// GetStale returns an object as it was at some time.
+	GetStale(ctx context.Context, kind ObjectKind, name string) (Object, error)
+}
--- a/request.go
+++ b/request.go
@@ -48,6 +48,9 @@
 	// Arrived is when the first byte was read; Deadline is after it or zero
 	// when there is none.
 	Arrived, Deadline time.Time
+	// FirstBy is when the caller gives up the wait for the first event of a stream;
+	// zero when it waits until Deadline.
+	FirstBy time.Time
 
 	// Model and Adapter are set for model requests, Service for plain ones. Where
 	// engines stand in named pools both are set: Service is the pool then.
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -15,7 +15,8 @@
 //     were made. So when a part of the endpoints fails, the retries that fall
 //     on the others stay a fixed share of what the others answer, and when all
 //     fail the retries stop.
-//  5. The number of attempts of one request is bounded.
+//  5. The number of attempts of one request is bounded, and so is the number of
+//     endpoints that it may be sent to, where the request says so.
 package retry
 
 import (
@@ -62,13 +63,14 @@
 }
 
 // Allow reports whether a request whose latest attempt ended in res, and which
-// had tries attempts, is tried again. It takes from the budget.
-func (p *Policy) Allow(req *hbs.Request, res *attempt.Result, tries int) bool {
+// had tries attempts of which so many were sent, is tried again. It takes from
+// the budget.
+func (p *Policy) Allow(req *hbs.Request, res *attempt.Result, tries, sent int) bool {
 	scope := ScopeOf(req)
 	switch {
 	case res.Sent && res.LastEvent == "", res.End == hbs.EndComplete, res.End == hbs.EndCanceled: // rule 1
 		return false
-	case tries >= p.limit(req, scope): // rule 5
+	case tries >= int(p.Knobs.Number(KnobAttempts, scope)), req.Attempts > 0 && sent >= req.Attempts: // rule 5
 		return false
 	case notRun(req, res): // rule 2
 		if p.CountRefused && res.End == hbs.EndRefused && !p.Budget.Spend(scope) {
@@ -87,14 +89,6 @@
 	return true
 }
 
-// limit returns the number of attempts that req may have.
-func (p *Policy) limit(req *hbs.Request, scope hbs.Scope) int {
-	if req.Attempts > 0 {
-		return req.Attempts
-	}
-	return int(p.Knobs.Number(KnobAttempts, scope))
-}
-
 // notRun applies rule 2.
 func notRun(req *hbs.Request, res *attempt.Result) bool {
 	if r := res.Refusal; res.End == hbs.EndUnreached {
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -28,6 +28,14 @@
 	}
 }
 
+// sentOf returns how many attempts were sent when the only one ended in res.
+func sentOf(res *attempt.Result) int {
+	if res.End == hbs.EndUnreached {
+		return 0
+	}
+	return 1
+}
+
 var _ = Describe("Policy", func() {
 	repeatable := &hbs.Request{Class: hbs.ClassRepeatable}
 	refused := &attempt.Result{AttemptResult: hbs.AttemptResult{End: hbs.EndRefused}}
@@ -38,7 +46,7 @@
 	// allowed counts how many of ten attempts that end alike are followed by another.
 	allowed := func(p *retry.Policy, req *hbs.Request, res *attempt.Result) (n int) {
 		for range 10 {
-			if p.Allow(req, res, 1) {
+			if p.Allow(req, res, 1, sentOf(res)) {
 				n++
 			}
 		}
@@ -61,6 +69,7 @@
 		once := *repeatable
 		once.Attempts = 1
 		Expect(allowed(policy(false), &once, refused)).To(BeZero())
+		Expect(allowed(policy(false), &once, unreached)).To(Equal(10), "it was sent to none")
 	})
 
 	It("goes on with a broken stream only after its last event (rule 1)", func() {
--- a/route/route.go
+++ b/route/route.go
@@ -48,6 +48,8 @@
 	// Objective is the time within which an answer, or the first event of a
 	// stream, is on time; 0 is none.
 	Objective time.Duration
+	// Patience is how long callers wait for an event of a stream.
+	Patience time.Duration
 	// Attempts is the number of endpoints that one request may be sent to; at
 	// least 1.
 	Attempts int
