dispatch: keep the place of a broken stream while attempts reach nothing

Its place was taken from the latest attempt alone, and one in between had reached no engine.

Ruled out: the cutting of events and the engines' numbering.

Change: the place stays until the answer is complete; an attempt after it is one of an answer that has begun. A request has up to five attempts, those included that sent nothing.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -129,7 +129,7 @@
 	}
 	for {
 		res := s.attempts(ctx, p)
-		s.after = res.LastEvent
+		s.carry(&res)
 		if !s.retries.Allow(s.req, &res, s.tries, s.sent) {
 			return s.conclude(&res)
 		}
@@ -141,6 +141,18 @@
 	}
 }
 
+// carry keeps where a broken stream goes on. An attempt that was to go on with it
+// and passed nothing leaves it where it was: the caller has a part of the answer,
+// whatever this attempt did.
+func (s *serving) carry(res *attempt.Result) {
+	if res.LastEvent != "" {
+		s.after = res.LastEvent
+	}
+	if s.after != "" {
+		res.Sent, res.LastEvent = true, s.after
+	}
+}
+
 // placeAgain places a retry (rule 3).
 func (s *serving) placeAgain(ctx context.Context, res *attempt.Result) (hbs.Placement, bool) {
 	p, ok := s.admission.TryPlace(s.req, s.avoid)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -55,6 +55,9 @@
 	retryShare = 0.75
 	// retryBurst is how many retries an instance may make at once.
 	retryBurst = 4
+	// tries bounds the attempts of a request, those included that sent nothing. The
+	// route bounds those that are sent.
+	tries = 5
 	// connectTimeout bounds a connection to an endpoint. It is many round trips
 	// within a region and well below callers' objectives.
 	connectTimeout = 200 * time.Millisecond
@@ -159,6 +162,7 @@
 		With(attempt.KnobConnectTimeout, connectTimeout.Seconds()).
 		With(retry.KnobShare, retryShare*b.Bounds.RetryRatio).
 		With(retry.KnobBurst, retryBurst).
+		With(retry.KnobAttempts, tries).
 		With(lease.KnobDuration, leaseTime.Seconds()).
 		With(lease.KnobRenew, leaseRenew.Seconds()).
 		With(lease.KnobMargin, leaseMargin.Seconds()).
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -184,7 +184,7 @@
 	f.Expect(f.store.Put(platform.KindConfig, platform.ConfigName, map[string]any{
 		"version": version,
 		"routes": []any{
-			route("talk", "stream", "engines", 2, true), route("once", "stream", "engines", 1, false),
+			route("talk", "stream", "engines", 2, true), route("tell", "stream", "engines", 4, true), route("once", "stream", "engines", 1, false),
 			route("book", "non_idempotent", "desk", 1, false), route("look", "idempotent", "desk", 2, false),
 		},
 		"services": []any{
--- a/gateway/serve_test.go
+++ b/gateway/serve_test.go
@@ -84,6 +84,32 @@
 		})
 	})
 
+	It("goes on after the last event though engines in between refuse", func() {
+		in(func(f *fleet) {
+			f.fail(f.engines, pool.Faults{Cut: 3})
+			f.wg.Go(func() {
+				for len(runs(f.engines)) == 0 {
+					time.Sleep(time.Millisecond)
+				}
+				time.Sleep(5 * time.Millisecond)
+				// Two of the three others refuse, so that one attempt in between does
+				// but for the luck of the draw.
+				shed := 0
+				for _, e := range f.engines {
+					e.Fail(pool.Faults{Shed: len(e.Runs()) == 0 && shed < 2})
+					if len(e.Runs()) == 0 {
+						shed++
+					}
+				}
+			})
+			c := talk(0)
+			c.path = "/tell/x"
+			a := f.do(c)
+			f.Expect(a.err).NotTo(HaveOccurred())
+			f.Expect(a.body).To(Equal(pieces()))
+		})
+	})
+
 	It("breaks a stream off that can't go on, and never ends it as whole", func() {
 		in(func(f *fleet) {
 			f.fail(f.engines, pool.Faults{Cut: 3})
