--- a/caller/sink.go
+++ b/caller/sink.go
@@ -11,6 +11,8 @@
 type Sink struct {
 	// Began is set once the status was written.
 	Began bool
+	// FirstWrite is when the first byte of the body was written; zero before.
+	FirstWrite time.Time
 
 	w http.ResponseWriter
 	c *http.ResponseController
@@ -43,6 +45,9 @@
 	if err := s.extend(); err != nil {
 		return err
 	}
+	if s.FirstWrite.IsZero() {
+		s.FirstWrite = time.Now()
+	}
 	if _, err := s.w.Write(p); err != nil {
 		return err
 	}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -115,7 +115,7 @@
 	sink hbs.Sink
 	// tries counts the attempts, sent those that were sent, avoid their endpoints.
 	tries, sent int
-	avoid []hbs.EndpointID
+	avoid       []hbs.EndpointID
 	// ran: an attempt may have run.
 	ran bool
 	// after is the last event that the caller has of a broken stream.
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -270,6 +270,10 @@
 	h := x.h
 	h.count(meterRequests)
 	h.count(meterOutcomePrefix + string(outcome))
+	h.time(meterTook, time.Since(x.req.Arrived))
+	if at := x.sink.FirstWrite; !at.IsZero() {
+		h.time(meterFirst, at.Sub(x.req.Arrived))
+	}
 	fields := []zap.Field{
 		zap.String("request", string(x.req.ID)),
 		zap.String("outcome", string(outcome)),
@@ -303,6 +307,20 @@
 
 func (h *handler) count(name string) { metrics.GetOrRegisterCounter(name, h.metrics).Inc(1) }
 
+// histogramSamples and histogramBias make a histogram of about the last five
+// minutes (the values of the Unix load average).
+const (
+	histogramSamples = 1028
+	histogramBias    = 0.015
+)
+
+func (h *handler) time(name string, d time.Duration) {
+	newHistogram := func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewExpDecaySample(histogramSamples, histogramBias))
+	}
+	h.metrics.GetOrRegister(name, newHistogram).(metrics.Histogram).Update(d.Microseconds())
+}
+
 func badRequest(err error) *hbs.Refusal {
 	return hbs.NotRun(hbs.ReasonBadRequest, err.Error(), 0)
 }
--- a/gateway/serve_test.go
+++ b/gateway/serve_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"time"
 
@@ -50,6 +51,21 @@
 		})
 	})
 
+	It("tells operators its counters and times", func() {
+		in(func(f *fleet) {
+			f.do(talk(0))
+			res, err := f.client.Get("http://" + at(1, portReady).String() + "/metrics")
+			f.Expect(err).NotTo(HaveOccurred())
+			defer res.Body.Close()
+			text, err := io.ReadAll(res.Body)
+			f.Expect(err).NotTo(HaveOccurred())
+			for _, line := range []string{"hornbeamstage_gateway_requests 1", "hornbeamstage_gateway_outcome_answered 1",
+				"hornbeamstage_gateway_first_write_microseconds_count 1", `hornbeamstage_gateway_request_microseconds{quantile="0.99"}`} {
+				f.Expect(string(text)).To(ContainSubstring(line))
+			}
+		})
+	})
+
 	DescribeTable("refuses what may not run, and no endpoint sees it", func(c call, status int) {
 		in(func(f *fleet) {
 			a := f.do(c)
--- a/gateway/store_test.go
+++ b/gateway/store_test.go
@@ -164,6 +164,15 @@
 		})
 	})
 
+	It("are ordered though the store loses answers of writes that took effect", func() {
+		in(func(f *fleet) {
+			f.store.LoseAnswers(0.5, converge)
+			f.name(2)
+			time.Sleep(converge + takeover)
+			f.Expect(f.versions()).To(HaveEach(int64(2)))
+		})
+	})
+
 	It("are ordered by another holder, with a higher number and after a pause, when the first one dies", func() {
 		in(func(f *fleet) {
 			f.name(2)
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -52,7 +52,9 @@
 	random  *objects.RandomPlans
 }
 
-func newDomain(ctx context.Context, seed uint64, faults float64) *domain {
+// newDomain starts the instances. wrap makes what they see of the store; nil is
+// the store itself.
+func newDomain(ctx context.Context, seed uint64, faults float64, wrap func(*objects.Client) hbs.Platform) *domain {
 	d := &domain{random: &objects.RandomPlans{
 		Rand: rand.New(rand.NewPCG(seed, 0)), Faults: faults,
 		Late: 15 * time.Second, Pause: 20 * time.Second, Slow: 3 * time.Second,
@@ -65,7 +67,11 @@
 	}
 	for _, self := range dir.roster.Instances {
 		client := &objects.Client{Store: shared, Plan: d.random.Plan}
-		k := &lease.Keeper{Platform: client, Self: self, Directory: dir, Policy: knob.NewFixed(lease.Knobs), Metrics: metrics.NewRegistry()}
+		seen := hbs.Platform(client)
+		if wrap != nil {
+			seen = wrap(client)
+		}
+		k := &lease.Keeper{Platform: seen, Self: self, Directory: dir, Policy: knob.NewFixed(lease.Knobs), Metrics: metrics.NewRegistry()}
 		d.keepers = append(d.keepers, k)
 		d.clients = append(d.clients, client)
 		d.wg.Go(func() { _ = k.Run(ctx) })
@@ -110,16 +116,69 @@
 
 // inDomain runs test in a bubble.
 func inDomain(seed uint64, faults float64, test func(g Gomega, d *domain)) {
+	inDomainThat(seed, faults, nil, test)
+}
+
+func inDomainThat(seed uint64, faults float64, wrap func(*objects.Client) hbs.Platform, test func(g Gomega, d *domain)) {
 	synctest.Test(suiteT, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		d := newDomain(ctx, seed, faults)
+		d := newDomain(ctx, seed, faults, wrap)
 		test(NewWithT(t), d)
 		cancel()
 		d.wg.Wait()
 	})
 }
 
+// behind is the age of what lagging reads return.
+const behind = 5 * time.Second
+
+// lagging is a store whose cheap reads tell what was there a while ago.
+type lagging struct {
+	*objects.Client
+	mu   sync.Mutex
+	read []reading
+}
+
+type reading struct {
+	at  time.Time
+	obj hbs.Object
+}
+
+// GetStale implements hornbeamstage.StaleReader.
+func (l *lagging) GetStale(ctx context.Context, kind hbs.ObjectKind, name string) (hbs.Object, error) {
+	obj, err := l.Get(ctx, kind, name)
+	if err != nil {
+		return obj, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.read = append(l.read, reading{time.Now(), obj})
+	for len(l.read) > 1 && time.Since(l.read[1].at) >= behind {
+		l.read = l.read[1:]
+	}
+	return l.read[0].obj, nil
+}
+
 var _ = Describe("Keeper", func() {
+	It("never has two holders though reads are behind, and finds a new one all the same (L3)", func() {
+		lags := func(c *objects.Client) hbs.Platform { return &lagging{Client: c} }
+		for seed := range uint64(10) {
+			inDomainThat(seed, 0.2, lags, func(g Gomega, d *domain) {
+				_, broken := d.watch(5 * time.Minute)
+				g.Expect(broken).To(BeEmpty(), "seed %d", seed)
+			})
+		}
+		inDomainThat(1, 0, lags, func(g Gomega, d *domain) {
+			time.Sleep(10 * time.Second)
+			at, fence, _ := d.holder()
+			d.clients[at].Kill()
+			time.Sleep(40 * time.Second)
+			_, next, n := d.holder()
+			g.Expect(n).To(Equal(1))
+			g.Expect(next).To(Equal(fence + 1))
+		})
+	})
+
 	It("holds one lease without a break while nothing fails", func() {
 		inDomain(1, 0, func(g Gomega, d *domain) {
 			terms, broken := d.watch(10 * time.Minute)
