--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -29,6 +29,7 @@
 	"github.com/hornbeamstage/hornbeamstage/hedge"
 	"github.com/hornbeamstage/hornbeamstage/knob"
 	"github.com/hornbeamstage/hornbeamstage/lease"
+	"github.com/hornbeamstage/hornbeamstage/network"
 	"github.com/hornbeamstage/hornbeamstage/placement"
 	"github.com/hornbeamstage/hornbeamstage/platform"
 	"github.com/hornbeamstage/hornbeamstage/retry"
@@ -283,19 +284,19 @@
 	}
 	readiness, err := g.listen("readiness", g.Boot.Readiness, g.operatorRoutes())
 	if err != nil {
-		callers.close()
+		callers.Close()
 		return err
 	}
 	servers := pool.New().WithContext(ctx).WithCancelOnError().WithFirstError()
-	servers.Go(callers.run)
-	servers.Go(readiness.run)
+	servers.Go(callers.Run)
+	servers.Go(readiness.Run)
 	servers.Go(func(ctx context.Context) error { return g.stopDuty(ctx, callers, readiness) })
 	return servers.Wait()
 }
 
 // stopDuty carries out a graceful stop: go unready, serve until no new
 // connections come, let running requests end.
-func (g *Gateway) stopDuty(ctx context.Context, callers, readiness *server) error {
+func (g *Gateway) stopDuty(ctx context.Context, callers, readiness *network.Server) error {
 	select {
 	case <-g.stop:
 	case <-ctx.Done():
@@ -307,8 +308,8 @@
 	if err := delay.For(ctx, min(belowRotation, grace)); err != nil {
 		return err
 	}
-	err := callers.drain(ctx, time.Until(last))
-	readiness.close()
+	err := callers.Drain(ctx, time.Until(last))
+	readiness.Close()
 	if err != nil {
 		return errors.Wrap(err, "requests were cut at the end of the grace time")
 	}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -1,17 +1,11 @@
 package gateway
 
 import (
-	"context"
-	"fmt"
-	"io"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
@@ -20,7 +14,6 @@
 	"github.com/hornbeamstage/hornbeamstage/dispatch"
 	"github.com/hornbeamstage/hornbeamstage/platform"
 	"github.com/hornbeamstage/hornbeamstage/roster"
-	"github.com/hornbeamstage/hornbeamstage/route"
 )
 
 const (
@@ -50,23 +43,6 @@
 	roster *hbs.Roster
 }
 
-// exchange is one request of a caller and its answer.
-type exchange struct {
-	h *handler
-	r *http.Request
-	// out is the caller's connection and sink the answer on it.
-	out  http.ResponseWriter
-	sink *caller.Sink
-
-	table *route.Table
-	// age is how old the knowledge of the table was.
-	age       time.Duration
-	route     *route.Route
-	workspace *route.Workspace
-	terms     platform.CallerTerms
-	req       hbs.Request
-}
-
 // ServeHTTP implements http.Handler.
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{h: h, r: r, out: w, sink: caller.NewSink(w, writeWait), table: h.table.now(), age: h.table.age()}
@@ -82,173 +58,6 @@
 	}
 }
 
-// serve runs the exchange up to its outcome. The error is nil only when the
-// caller got an endpoint's answer.
-func (x *exchange) serve(ctx context.Context) (hbs.Outcome, error) {
-	for _, step := range []func() error{x.readTerms, x.match, x.authenticate, x.readBody} {
-		if err := step(); err != nil {
-			return hbs.OutcomeNotRun, err
-		}
-	}
-	x.fill()
-	outcome, err := x.h.dispatcher.Serve(ctx, &x.req, nil, x.sink)
-	if err != nil {
-		return asRefusal(err).Outcome, err
-	}
-	return outcome, nil
-}
-
-func (x *exchange) readTerms() (err error) {
-	x.terms, err = platform.DecodeCallerTerms(x.r.Header)
-	x.req.ID = x.terms.ID
-	if err != nil {
-		return badRequest(err)
-	}
-	return nil
-}
-
-// match finds the route. An instance that may have an old table does not say
-// that there is none.
-func (x *exchange) match() error {
-	if x.table == nil {
-		return hbs.NotRun(hbs.ReasonStarting, "", startingRetry)
-	}
-	path, _, _ := strings.Cut(x.r.RequestURI, "?")
-	x.route = x.table.Match(x.r.Host, path)
-	if x.route == nil {
-		return x.unknown(hbs.NotRun(hbs.ReasonUnknownService, "no route", 0))
-	}
-	return nil
-}
-
-// unknown returns refusal where the table is known to be the newest one.
-func (x *exchange) unknown(refusal *hbs.Refusal) error {
-	if d := x.h.bounds.Load().ConfigTime; d > 0 && x.age > watchWait+d {
-		return hbs.NotRun(hbs.ReasonStarting, "routes may be old", startingRetry)
-	}
-	return refusal
-}
-
-// authenticate finds the workspace of the caller's key. While keys may have been
-// revoked unseen, none is taken.
-func (x *exchange) authenticate() error {
-	if !x.table.Keyed || x.route.Public {
-		return nil
-	}
-	if b := x.h.bounds.Load(); b.StrictRevoke && x.age > b.Revoke {
-		return hbs.NotRun(hbs.ReasonNoPlatform, "keys may be old", startingRetry)
-	}
-	x.workspace = x.table.Workspace(x.terms.Key)
-	if x.workspace == nil {
-		return x.unknown(hbs.NotRun(hbs.ReasonUnauthorized, "", 0))
-	}
-	return nil
-}
-
-func (x *exchange) readBody() error {
-	wait := bodyWait
-	if x.terms.Deadline > 0 {
-		wait = x.terms.Deadline
-	}
-	if err := x.sink.SetReadDeadline(time.Now().Add(wait)); err != nil {
-		return badRequest(errors.Wrap(err, "set read deadline"))
-	}
-	limit := x.table.Limits.BodyBytes
-	if limit <= 0 {
-		limit = maxBodyBytes
-	}
-	data, err := io.ReadAll(http.MaxBytesReader(nil, x.r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return hbs.NotRun(hbs.ReasonTooLarge, fmt.Sprintf("more than %d bytes", tooLarge.Limit), 0)
-	}
-	if err != nil {
-		return badRequest(errors.Wrap(err, "read body"))
-	}
-	x.req.Body = data
-	// The server watches for the caller's leaving only without a deadline.
-	if err := x.sink.SetReadDeadline(time.Time{}); err != nil {
-		return badRequest(errors.Wrap(err, "lift read deadline"))
-	}
-	return nil
-}
-
-// fill completes the request.
-func (x *exchange) fill() {
-	q, t := &x.req, &x.terms
-	q.Class = x.route.Class
-	q.Stream = x.route.Stream
-	q.Attempts = x.route.Attempts
-	q.Service = x.route.Choose(q.ID, x.h.serves)
-	q.Model = t.Model
-	q.Host, q.Method, q.Path = x.r.Host, x.r.Method, x.r.RequestURI
-	q.Header = platform.ForwardedHeader(x.r.Header)
-	rank := x.route.Rank
-	if w := x.workspace; w != nil {
-		q.Workspace = w.ID
-		if w.Isolated {
-			q.CacheScope = string(w.ID)
-		}
-		if w.Ranked {
-			rank = w.Rank
-		}
-	}
-	q.Priority = priorityOf(rank)
-	q.Deadline = x.deadline()
-	if q.Stream {
-		q.FirstBy = q.Arrived.Add(x.route.Patience)
-	}
-	if q.Model != "" {
-		q.PromptTokens, q.ExpectedTokens = t.PromptTokens, max(t.OutputTokens, 1)
-		q.Levels = levels(q, t.Prompt)
-	}
-}
-
-// deadline returns when the caller or the operator ends the request.
-func (x *exchange) deadline() (at time.Time) {
-	wait := x.terms.Deadline
-	if r := x.route.Timeout; r > 0 && (wait == 0 || r < wait) {
-		wait = r
-	}
-	if wait == 0 {
-		return at
-	}
-	return x.req.Arrived.Add(wait)
-}
-
-func priorityOf(rank int) hbs.Priority {
-	switch {
-	case rank <= 0:
-		return hbs.PriorityHigh
-	case rank == 1:
-		return hbs.PriorityNormal
-	}
-	return hbs.PriorityLow
-}
-
-// levels returns the nested prefixes of a prompt.
-func levels(q *hbs.Request, parts []platform.PromptPart) []hbs.Level {
-	var ls []hbs.Level
-	tokens := 0
-	for _, p := range parts {
-		tokens += p.Tokens
-		ls = append(ls, hbs.Level{Key: levelKey(q.CacheScope, q.Model, p.ID), Tokens: tokens})
-	}
-	q.PromptTokens = max(q.PromptTokens, tokens)
-	if len(ls) > 0 {
-		ls[len(ls)-1].Tokens = q.PromptTokens
-	}
-	return ls
-}
-
-// levelKey returns the key of the prefix that ends with a part. A part has one
-// place among prompts, so its id stands for all before it; engines name it alone
-// in their cache events. Keys of requests that may not share a cached prefix
-// differ.
-func levelKey(scope string, model hbs.ModelName, part string) hbs.LevelKey {
-	return hbs.LevelKey(xxhash.Sum64String(scope + "\x00" + string(model) + "\x00" + part))
-}
-
 // serves reports whether a service has a live endpoint.
 func (h *handler) serves(s hbs.ServiceName) bool {
 	r := h.directory.Roster()
@@ -265,46 +74,6 @@
 	return h.served[s] > 0
 }
 
-// finish tells the caller of a refusal and writes the request's line.
-func (x *exchange) finish(outcome hbs.Outcome, err error) {
-	h := x.h
-	h.count(meterRequests)
-	h.count(meterOutcomePrefix + string(outcome))
-	h.time(meterTook, time.Since(x.req.Arrived))
-	if at := x.sink.FirstWrite; !at.IsZero() {
-		h.time(meterFirst, at.Sub(x.req.Arrived))
-	}
-	fields := []zap.Field{
-		zap.String("request", string(x.req.ID)),
-		zap.String("outcome", string(outcome)),
-		zap.String("workspace", string(x.req.Workspace)),
-		zap.String("service", string(x.req.Service)),
-		zap.Int("prompt_tokens", x.req.PromptTokens),
-		zap.Int("expected_tokens", x.req.ExpectedTokens),
-		zap.Duration("took", time.Since(x.req.Arrived)),
-		zap.Duration("table_age", x.age),
-	}
-	if x.route != nil {
-		fields = append(fields, zap.String("route", x.route.Name), zap.Int64("table", int64(x.table.Version)))
-	}
-	if err != nil {
-		r := asRefusal(err)
-		fields = append(fields, zap.String("reason", string(r.Reason)), zap.String("detail", r.Detail), zap.Duration("retry_after", r.RetryAfter))
-		x.refuse(r)
-	}
-	h.log.Info("request ended", fields...)
-}
-
-func (x *exchange) refuse(r *hbs.Refusal) {
-	x.h.count(meterReasonPrefix + string(r.Reason))
-	if x.sink.Began {
-		return
-	}
-	if err := platform.WriteRefusal(x.out, x.req.ID, r); err != nil {
-		x.h.log.Debug("refusal not told", zap.String("request", string(x.req.ID)), zap.Error(err))
-	}
-}
-
 func (h *handler) count(name string) { metrics.GetOrRegisterCounter(name, h.metrics).Inc(1) }
 
 // histogramSamples and histogramBias make a histogram of about the last five
@@ -320,16 +89,3 @@
 	}
 	h.metrics.GetOrRegister(name, newHistogram).(metrics.Histogram).Update(d.Microseconds())
 }
-
-func badRequest(err error) *hbs.Refusal {
-	return hbs.NotRun(hbs.ReasonBadRequest, err.Error(), 0)
-}
-
-// asRefusal returns the refusal in err's chain, or one for an internal error.
-func asRefusal(err error) *hbs.Refusal {
-	var r *hbs.Refusal
-	if errors.As(err, &r) {
-		return r
-	}
-	return &hbs.Refusal{Outcome: hbs.OutcomeUnknown, Reason: hbs.ReasonInternal, Detail: err.Error()}
-}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"context"
-	"net"
 	"net/http"
 	"net/netip"
 	"time"
@@ -12,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/hornbeamstage/hornbeamstage/meter"
+	"github.com/hornbeamstage/hornbeamstage/network"
 	"github.com/hornbeamstage/hornbeamstage/platform"
 )
 
@@ -24,54 +23,18 @@
 	maxHeaderBytes = 64 << 10
 )
 
-// server is one HTTP listener.
-type server struct {
-	name     string
-	listener net.Listener
-	http     *http.Server
-}
-
-func (g *Gateway) listen(name string, addr netip.AddrPort, h http.Handler) (s *server, err error) {
+func (g *Gateway) listen(name string, addr netip.AddrPort, h http.Handler) (s *network.Server, err error) {
 	defer func() { err = errors.Wrapf(err, "%s listener", name) }()
 	l, err := g.Network.Listen(addr)
 	if err != nil {
 		return nil, err
 	}
-	return &server{name: name, listener: l, http: &http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: headerWait,
-		IdleTimeout:       idleWait,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          zap.NewStdLog(g.Log.Named(name)),
-	}}, nil
-}
-
-// run serves until drain or close, or until ctx ends.
-func (s *server) run(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, s.close)
-	defer stop()
-	err := s.http.Serve(s.listener)
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return errors.Wrap(err, s.name)
-}
-
-// drain stops listening and waits for running requests, at most grace.
-func (s *server) drain(ctx context.Context, grace time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, grace)
-	defer cancel()
-	err := s.http.Shutdown(ctx)
-	if err != nil {
-		s.close()
-	}
-	return err
-}
-
-// close cuts all connections.
-func (s *server) close() {
-	// Close only reports errors of listeners that are gone anyway.
-	_ = s.http.Close()
+	s = network.NewServer(name, l, h)
+	s.HTTP.ReadHeaderTimeout = headerWait
+	s.HTTP.IdleTimeout = idleWait
+	s.HTTP.MaxHeaderBytes = maxHeaderBytes
+	s.HTTP.ErrorLog = zap.NewStdLog(g.Log.Named(name))
+	return s, nil
 }
 
 func (g *Gateway) operatorRoutes() http.Handler {
--- a/router/inflight.go
+++ b/network/inflight.go
@@ -1,4 +1,4 @@
-package router
+package network
 
 import (
 	"net/http"
--- a/router/router.go
+++ b/router/router.go
@@ -15,6 +15,7 @@
 
 	hbs "github.com/hornbeamstage/hornbeamstage"
 	"github.com/hornbeamstage/hornbeamstage/delay"
+	"github.com/hornbeamstage/hornbeamstage/network"
 	"github.com/hornbeamstage/hornbeamstage/placement"
 	"github.com/hornbeamstage/hornbeamstage/settings"
 )
@@ -108,12 +109,12 @@
 	}
 	operators, err := r.listenOperators(p)
 	if err != nil {
-		callers.close()
+		callers.Close()
 		return err
 	}
 	servers := pool.New().WithContext(ctx).WithCancelOnError().WithFirstError()
-	servers.Go(callers.run)
-	servers.Go(operators.run)
+	servers.Go(func(ctx context.Context) error { return run(ctx, callers) })
+	servers.Go(func(ctx context.Context) error { return run(ctx, operators) })
 	servers.Go(func(ctx context.Context) error {
 		return r.stopDuty(ctx, p, callers, operators)
 	})
@@ -122,7 +123,7 @@
 
 // stopDuty carries out a graceful stop: leave, linger, drain, end. Orders are
 // handed over meanwhile.
-func (r *Router) stopDuty(ctx context.Context, p *parts, callers, operators *server) error {
+func (r *Router) stopDuty(ctx context.Context, p *parts, callers, operators *network.Server) error {
 	select {
 	case <-r.stop:
 	case <-ctx.Done():
@@ -135,10 +136,10 @@
 		r.Log.Warn("the platform was not told of the stop; peers were", zap.Error(err))
 	}
 	_ = delay.For(ctx, time.Duration(r.Settings.Stop.Linger))
-	err := callers.drain(ctx, time.Duration(r.Settings.Stop.Grace))
+	err := callers.Drain(ctx, time.Duration(r.Settings.Stop.Grace))
 	handOver.Wait()
 	r.withdraw(ctx, p)
-	operators.close()
+	operators.Close()
 	if err != nil {
 		return errors.Wrap(err, "requests were cut at the end of the grace time")
 	}
