--- a/Makefile
+++ b/Makefile
@@ -24,3 +24,11 @@
 # journal keeps them for `replay`.
 hunt:
 	$(BENCH) hunt $(FILE) --days $(DAYS) --jobs 4 --why "$(WHY)"
+
+# kinds plays one day for each kind of trouble, deploy/days/, and prints those
+# that break a rule.
+.PHONY: kinds
+kinds:
+	@for day in deploy/days/*.toml; do \
+		$(BENCH) run $(FILE) $$day --seed $(SEED) --why "$(WHY)" | grep -A1 "score  worth" | tail -n 1; \
+	done
