placement: homes by the last shared level where engines load from each other

Only the last shared level of a prompt narrows the set of its home where engines load prefixes from each other.

--- a/heat/heat.go
+++ b/heat/heat.go
@@ -5,8 +5,7 @@
 //
 //  1. The demand for a level is the engine time that its requests need each
 //     second: 2.0 keeps two engines busy. It is the own demand plus what peers
-//     tell of theirs; a peer that falls silent is forgotten. Where instances do
-//     not tell each other, it is the own demand times a scale.
+//     tell of theirs; a peer that falls silent is forgotten.
 //  2. What a request computes of levels that were seen before is not counted. It
 //     would make a prefix that is computed often look hot and spread it further.
 //  3. Levels along which no prompts part have the same demand and form a run.
@@ -87,9 +86,6 @@
 // Map follows the demand of one instance and its peers. It is not safe for
 // concurrent use.
 type Map struct {
-	// Scale is the demand of all instances over that of this one and of the peers
-	// that tell theirs; 0 is 1.
-	Scale float64
 	// Full replaces FullLoad, and a share of it ShrinkLoad, where prefixes are
 	// cheap to copy and waiting costs more; 0 leaves both.
 	Full float64
@@ -184,9 +180,9 @@
 // and ShrinkLoad.
 func (m *Map) weight() float64 {
 	if m.Full > 0 {
-		return max(1, m.Scale) * FullLoad / m.Full
+		return FullLoad / m.Full
 	}
-	return max(1, m.Scale)
+	return 1
 }
 
 // Load returns the demand for key.
--- a/placement/candidates.go
+++ b/placement/candidates.go
@@ -132,7 +132,7 @@
 	f.sizes = f.heat.Sizes(req.Levels, now, f.sizes[:0])
 	covered := 0
 	for i, level := range req.Levels {
-		if f.sizes[i] < len(set) {
+		if i >= g.narrowing(req) && f.sizes[i] < len(set) {
 			set = f.exclude(g, set, level.Key, f.sizes[i], covered)
 		}
 		covered = level.Tokens
@@ -141,6 +141,17 @@
 	g.homes = set
 }
 
+// narrowing returns the first level that narrows the set. Where engines load
+// prefixes from each other in milliseconds it is the last one that is shared:
+// a few first levels with most prompts below them would make a few engines the
+// home of all, however little of the demand an instance sees.
+func (g *group) narrowing(req *hbs.Request) int {
+	if g.tuning.transferRate == 0 {
+		return 0
+	}
+	return max(0, len(req.Levels)-2)
+}
+
 // exclude narrows set to n endpoints by key. Those left out are at home up to
 // the covered tokens. They are ranked, so that what spills from all instances
 // goes to the same few endpoints (rule 1 of Fleet).
--- a/placement/cost.go
+++ b/placement/cost.go
@@ -154,7 +154,6 @@
 	b.load.Favoured = req.Favoured
 	if req.Model != "" {
 		b.load.Prefill = max(1, int(miss))
-		g.miss += missGain * (miss - g.miss)
 	}
 	b.queued = m.wait / (g.rates.perToken * m.score.Slowness())
 	b.cached = m.cached
--- a/placement/fleet.go
+++ b/placement/fleet.go
@@ -115,7 +115,6 @@
 	news     news
 	reports  reports
 	kept     kept
-	part     part
 }
 
 func (f *Fleet) start() { f.once.Do(f.init) }
--- a/placement/group.go
+++ b/placement/group.go
@@ -43,8 +43,6 @@
 	// sources are the two endpoints that are believed to have most of the prompt
 	// cached, the first one in front; nil where there is none.
 	sources [2]*member
-	// miss is the decaying mean of the tokens that an attempt has to compute.
-	miss float64
 	// shared is the length of the prompt's prefix that other requests use too.
 	shared float64
 }
