--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+# Plays days of a deployment with the operators' bench. KIT is its folder; CI
+# needs none of this.
+KIT ?= ../given/kit/more/system
+SITE ?= tambuli-cowl
+DAY ?= deploy/days/calm.toml
+SEED ?= 1
+DAYS ?= 40
+WHY ?= by hand
+
+BENCH = $(KIT)/bin/fleetbench
+FILE = $(KIT)/sites/$(SITE).toml
+
+.PHONY: day score hunt
+
+# day builds the program and plays one day.
+day:
+	$(BENCH) run $(FILE) $(DAY) --seed $(SEED) --why "$(WHY)"
+
+# score plays the standard days.
+score:
+	$(BENCH) score $(FILE) --jobs 4 --why "$(WHY)"
+
+# hunt plays days with fresh seeds and names those that break a rule; the
+# journal keeps them for `replay`.
+hunt:
+	$(BENCH) hunt $(FILE) --days $(DAYS) --jobs 4 --why "$(WHY)"
--- a/gateway/feeds.go
+++ b/gateway/feeds.go
@@ -54,6 +54,11 @@
 			all = append(all, e)
 		}
 	}
+	for i := range all {
+		if old, known := f.directory.Endpoint(all[i].ID); !known || old.Revision != all[i].Revision {
+			f.explain(&all[i])
+		}
+	}
 	f.directory.Replace(all)
 	for i := range objs {
 		f.takeStatus(&objs[i])
@@ -86,8 +91,14 @@
 	}
 	f.directory.Put(e)
 	f.takeStatus(&ev.Object)
-	f.Log.Info("endpoint recorded", zap.String("endpoint", string(id)), zap.String("state", string(e.State)),
-		zap.String("weights", string(e.Weights)), zap.Uint64("revision", uint64(e.Revision)))
+	f.explain(&e)
+}
+
+// explain logs a record that is taken.
+func (f *serverFeed) explain(e *hbs.Endpoint) {
+	f.Log.Info("endpoint recorded", zap.String("endpoint", string(e.ID)), zap.String("service", string(e.Service)),
+		zap.String("state", string(e.State)), zap.String("weights", string(e.Weights)), zap.String("incarnation", string(e.Incarnation)),
+		zap.Stringer("address", e.Address), zap.Uint64("revision", uint64(e.Revision)))
 }
 
 func (f *serverFeed) decode(obj *hbs.Object) (hbs.Endpoint, bool) {
