--- a/admission/pace.go
+++ b/admission/pace.go
@@ -45,7 +45,7 @@
 	// delays is by how many seconds the time to the first token exceeds its
 	// prediction, by engine priority: what the Placer can't know of engines that
 	// order their queues.
-	delays [enginePriorities]float64
+	delays [EnginePriorities]float64
 }
 
 // delay returns the delay for the engine priority of at.
@@ -159,8 +159,9 @@
 	// sizeBase is the number of tokens to compute in the first size; each further
 	// size is twice as large.
 	sizeBase = 256
-	// enginePriorities bounds the values of enginePriority.
-	enginePriorities = (rankHeavy + 2) * urgencyStep
+	// EnginePriorities bounds the priorities that endpoints get: they are 0 to
+	// EnginePriorities-1.
+	EnginePriorities = (rankHeavy + 2) * urgencyStep
 )
 
 // enginePriority returns the priority field for engines, lower is more urgent.
--- a/attempt/dispatch.go
+++ b/attempt/dispatch.go
@@ -159,7 +159,7 @@
 		return
 	}
 	switch {
-	case r.streamed() && res.StatusCode < 400 && isEvents(res.Header):
+	case r.streamed() && res.StatusCode < 400 && IsEvents(res.Header):
 		r.stream(ctx, res)
 	case res.StatusCode >= 400 && r.holds():
 		r.hold(ctx, res)
--- a/attempt/plain.go
+++ b/attempt/plain.go
@@ -92,7 +92,7 @@
 // readWhole reads the answer up to the bound. Event streams of plain services
 // are not held, since their events must not wait.
 func (r *run) readWhole(res *http.Response) ([]byte, error) {
-	if isEvents(res.Header) {
+	if IsEvents(res.Header) {
 		return nil, nil
 	}
 	limit := int64(r.Policy.Number(KnobWholeBytes, r.scope()))
--- a/attempt/stream.go
+++ b/attempt/stream.go
@@ -26,7 +26,8 @@
 // errGone: the engine no longer has the stream, or is another life.
 var errGone = errors.New("stream is gone")
 
-func isEvents(h http.Header) bool {
+// IsEvents reports whether an answer with these headers is a stream of events.
+func IsEvents(h http.Header) bool {
 	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
 }
 
--- a/caller/refusal.go
+++ b/caller/refusal.go
@@ -43,15 +43,22 @@
 // WriteRefusal writes r as the whole answer. An error of w is of no use to
 // anyone: the caller is gone then.
 func WriteRefusal(w http.ResponseWriter, r *hbs.Refusal) {
+	_ = WriteRefusalAs(w, r, r.Reason.Info().Status, retrySeconds(r.RetryAfter))
+}
+
+// WriteRefusalAs writes r as the whole answer with a status and, unless
+// RetryAfter is zero, a text for Retry-After.
+func WriteRefusalAs(w http.ResponseWriter, r *hbs.Refusal, status int, retryAfter string) error {
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set(HeaderOutcome, string(r.Outcome))
 	h.Set(HeaderReason, string(r.Reason))
 	if r.RetryAfter > 0 {
-		h.Set("Retry-After", retrySeconds(r.RetryAfter))
+		h.Set("Retry-After", retryAfter)
 	}
-	w.WriteHeader(r.Reason.Info().Status)
-	_, _ = w.Write(ErrorJSON(r))
+	w.WriteHeader(status)
+	_, err := w.Write(ErrorJSON(r))
+	return err
 }
 
 // retrySeconds rounds up, since coming back early is refused again.
--- a/caller/sink.go
+++ b/caller/sink.go
@@ -11,8 +11,11 @@
 type Sink struct {
 	// Began is set once the status was written.
 	Began bool
-	// FirstWrite is when the first byte of the body was written; zero before.
-	FirstWrite time.Time
+	// FirstWrite and LastWrite are when the body was first and last written to;
+	// zero before.
+	FirstWrite, LastWrite time.Time
+	// Writes counts the writes of the body.
+	Writes int
 
 	w http.ResponseWriter
 	c *http.ResponseController
@@ -45,15 +48,33 @@
 	if err := s.extend(); err != nil {
 		return err
 	}
-	if s.FirstWrite.IsZero() {
-		s.FirstWrite = time.Now()
+	s.LastWrite = time.Now()
+	if s.Writes == 0 {
+		s.FirstWrite = s.LastWrite
 	}
+	s.Writes++
 	if _, err := s.w.Write(p); err != nil {
 		return err
 	}
 	return s.c.Flush()
 }
 
+// FirstToken returns the time from arrival to the first write, 0 without one.
+func (s *Sink) FirstToken(arrived time.Time) time.Duration {
+	if s.Writes == 0 {
+		return 0
+	}
+	return s.FirstWrite.Sub(arrived)
+}
+
+// InterToken returns the mean time between writes, 0 with fewer than two.
+func (s *Sink) InterToken() time.Duration {
+	if s.Writes < 2 {
+		return 0
+	}
+	return s.LastWrite.Sub(s.FirstWrite) / time.Duration(s.Writes-1)
+}
+
 // SetReadDeadline bounds the time to read the request; the zero time lifts it.
 func (s *Sink) SetReadDeadline(t time.Time) error { return s.c.SetReadDeadline(t) }
 
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -236,9 +236,6 @@
 }
 
 func (s *serving) refuse(err error) (hbs.Outcome, error) {
-	var r *hbs.Refusal
-	if !errors.As(err, &r) {
-		r = &hbs.Refusal{Outcome: hbs.OutcomeUnknown, Reason: hbs.ReasonInternal, Detail: err.Error()}
-	}
+	r := hbs.AsRefusal(err)
 	return r.Outcome, r
 }
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -22,11 +22,9 @@
 	h      *Handler
 	r      *http.Request
 	params httprouter.Params
-	// out is the caller's connection and w the sink on it.
-	out http.ResponseWriter
-	w   *caller.Sink
-	// sink is what the answer is written to; it wraps w.
-	sink *timingSink
+	// out is the caller's connection and sink the answer on it.
+	out  http.ResponseWriter
+	sink *caller.Sink
 	req  hbs.Request
 }
 
@@ -39,7 +37,7 @@
 		x := h.newExchange(w, r, params)
 		outcome, err := x.serve(decode)
 		x.finish(outcome, err)
-		if err != nil && x.w.Began && !x.endsInEvent() {
+		if err != nil && x.sink.Began && !x.endsInEvent() {
 			// Only a broken connection tells the caller that the answer is cut.
 			panic(http.ErrAbortHandler)
 		}
@@ -52,9 +50,7 @@
 
 func (h *Handler) newExchange(w http.ResponseWriter, r *http.Request, params httprouter.Params) *exchange {
 	now := time.Now()
-	out := caller.NewSink(w, h.WriteWait)
-	x := &exchange{h: h, r: r, params: params, out: w, w: out}
-	x.sink = &timingSink{Sink: out, arrived: now}
+	x := &exchange{h: h, r: r, params: params, out: w, sink: caller.NewSink(w, h.WriteWait)}
 	x.req.ID = hbs.RequestID(rand.Text())
 	x.req.Arrived = now
 	w.Header().Set(caller.HeaderRequestID, string(x.req.ID))
@@ -80,7 +76,7 @@
 	if err != nil {
 		return hbs.OutcomeNotRun, err
 	}
-	defer func() { release(x.sink.writes) }()
+	defer func() { release(x.sink.Writes) }()
 	if x.req.Class == hbs.ClassOnce && x.req.IdempotencyKey != "" {
 		return x.serveOnce()
 	}
@@ -92,7 +88,7 @@
 func (x *exchange) dispatch(ctx context.Context, gate hbs.Gate, sink hbs.Sink) (hbs.Outcome, error) {
 	outcome, err := x.h.Dispatcher.Serve(ctx, &x.req, gate, sink)
 	if err != nil {
-		return asRefusal(err).Outcome, err
+		return hbs.AsRefusal(err).Outcome, err
 	}
 	return outcome, nil
 }
@@ -103,8 +99,8 @@
 }
 
 func (x *exchange) readBody() error {
-	if err := x.w.SetReadDeadline(time.Now().Add(x.h.BodyWait)); err != nil {
-		return badRequest(errors.Wrap(err, "set read deadline"))
+	if err := x.sink.SetReadDeadline(time.Now().Add(x.h.BodyWait)); err != nil {
+		return hbs.BadRequest(errors.Wrap(err, "set read deadline"))
 	}
 	body := http.MaxBytesReader(nil, x.r.Body, x.h.MaxBodyBytes)
 	data, err := io.ReadAll(body)
@@ -113,17 +109,17 @@
 		return hbs.NotRun(hbs.ReasonTooLarge, fmt.Sprintf("more than %d bytes", tooLarge.Limit), 0)
 	}
 	if err != nil {
-		return badRequest(errors.Wrap(err, "read body"))
+		return hbs.BadRequest(errors.Wrap(err, "read body"))
 	}
 	x.req.Body = data
 	// The server watches for the caller's leaving only without a deadline.
-	return x.w.SetReadDeadline(time.Time{})
+	return x.sink.SetReadDeadline(time.Time{})
 }
 
 func (x *exchange) readTerms() error {
 	terms, err := caller.DecodeTerms(x.r.Header)
 	if err != nil {
-		return badRequest(err)
+		return hbs.BadRequest(err)
 	}
 	x.req.IdempotencyKey = terms.IdempotencyKey
 	x.req.Priority = terms.Priority
@@ -153,13 +149,13 @@
 		Workspace:  x.req.Workspace,
 		Model:      x.req.Model,
 		Outcome:    outcome,
-		FirstToken: x.sink.firstToken(),
-		InterToken: x.sink.interToken(),
-		Began:      x.sink.began,
+		FirstToken: x.sink.FirstToken(x.req.Arrived),
+		InterToken: x.sink.InterToken(),
+		Began:      x.sink.Began,
 	}
 	x.h.count(MeterRequests)
 	if err != nil {
-		sample.Reason = x.refuse(asRefusal(err))
+		sample.Reason = x.refuse(hbs.AsRefusal(err))
 	}
 	x.h.count(meterOutcomePrefix + string(outcome))
 	if x.req.Model != "" {
@@ -172,12 +168,8 @@
 	if r.Reason == hbs.ReasonInternal {
 		x.h.Log.Error("request failed", zap.String("request", string(x.req.ID)), zap.Error(r))
 	}
-	if !x.w.Began {
+	if !x.sink.Began {
 		caller.WriteRefusal(x.out, r)
 	}
 	return r.Reason
 }
-
-func badRequest(err error) *hbs.Refusal {
-	return hbs.NotRun(hbs.ReasonBadRequest, err.Error(), 0)
-}
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/julienschmidt/httprouter"
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
@@ -109,12 +108,3 @@
 // CountHeaderTimeout counts a connection that the server gave up because no
 // whole header came.
 func (h *Handler) CountHeaderTimeout() { h.count(meterReasonPrefix + string(hbs.ReasonHeaderTimeout)) }
-
-// asRefusal returns the refusal in err's chain, or one for an internal error.
-func asRefusal(err error) *hbs.Refusal {
-	var r *hbs.Refusal
-	if errors.As(err, &r) {
-		return r
-	}
-	return &hbs.Refusal{Outcome: hbs.OutcomeUnknown, Reason: hbs.ReasonInternal, Detail: err.Error()}
-}
--- a/entry/model.go
+++ b/entry/model.go
@@ -20,7 +20,7 @@
 func modelExchange(x *exchange) error {
 	body, err := caller.DecodeBody(x.req.Body)
 	if err != nil {
-		return badRequest(err)
+		return hbs.BadRequest(err)
 	}
 	cfg := x.h.Config.Config()
 	model := cfg.Model(body.Model)
@@ -87,7 +87,7 @@
 func (h *Handler) models(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	workspace, err := h.authenticate(r)
 	if err != nil {
-		caller.WriteRefusal(w, asRefusal(err))
+		caller.WriteRefusal(w, hbs.AsRefusal(err))
 		return
 	}
 	cfg := h.Config.Config()
--- a/entry/service.go
+++ b/entry/service.go
@@ -62,7 +62,7 @@
 		Deadline:  x.req.Deadline,
 	})
 	if err != nil {
-		return asRefusal(err).Outcome, err
+		return hbs.AsRefusal(err).Outcome, err
 	}
 	if record != nil {
 		return x.replay(record)
@@ -85,7 +85,7 @@
 	}
 	record := claim.Record{Outcome: outcome}
 	if err != nil {
-		record.Reason = asRefusal(err).Reason
+		record.Reason = hbs.AsRefusal(err).Reason
 	}
 	if kept.complete(outcome) {
 		record.Status = kept.status
--- a/entry/sink.go
+++ b/entry/sink.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"net/http"
-	"time"
 
 	hbs "github.com/hornbeamstage/hornbeamstage"
 )
@@ -50,44 +49,3 @@
 func (s *recordSink) complete(o hbs.Outcome) bool {
 	return s.status != 0 && o != hbs.OutcomeUnknown
 }
-
-// timingSink measures the time to the first write and between writes.
-type timingSink struct {
-	hbs.Sink
-	arrived     time.Time
-	first, last time.Time
-	writes      int
-	began       bool
-}
-
-// Start implements hornbeamstage.Sink.
-func (s *timingSink) Start(status int, header http.Header) error {
-	s.began = true
-	return s.Sink.Start(status, header)
-}
-
-// Write implements hornbeamstage.Sink.
-func (s *timingSink) Write(p []byte) error {
-	s.last = time.Now()
-	if s.writes == 0 {
-		s.first = s.last
-	}
-	s.writes++
-	return s.Sink.Write(p)
-}
-
-// firstToken returns the time from arrival to the first write, 0 without one.
-func (s *timingSink) firstToken() time.Duration {
-	if s.writes == 0 {
-		return 0
-	}
-	return s.first.Sub(s.arrived)
-}
-
-// interToken returns the mean time between writes, 0 with fewer than two.
-func (s *timingSink) interToken() time.Duration {
-	if s.writes < 2 {
-		return 0
-	}
-	return s.last.Sub(s.first) / time.Duration(s.writes-1)
-}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -25,13 +25,13 @@
 	"net/http"
 	"net/netip"
 	"net/url"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 
 	hbs "github.com/hornbeamstage/hornbeamstage"
+	"github.com/hornbeamstage/hornbeamstage/admission"
 	"github.com/hornbeamstage/hornbeamstage/attempt"
 	"github.com/hornbeamstage/hornbeamstage/caller"
 	"github.com/hornbeamstage/hornbeamstage/platform"
@@ -57,8 +57,6 @@
 	// Misplaced is called when an endpoint said that it is not the one that was
 	// meant, or has other weights; may be nil.
 	Misplaced func(e *hbs.Endpoint, a *platform.Answer)
-	// Loaded is called with the load that an endpoint tells; may be nil.
-	Loaded func(e *hbs.Endpoint, l *platform.EndpointLoad)
 }
 
 var _ attempt.Runner = (*Sender)(nil)
@@ -162,19 +160,15 @@
 }
 
 // urgency maps the priorities of package admission to 0 to 1.
-func urgency(priority int) float64 { return float64(priority) / leastUrgent }
-
-// leastUrgent is about the largest priority of package admission.
-const leastUrgent = 39
+func urgency(priority int) float64 {
+	return float64(priority) / (admission.EnginePriorities - 1)
+}
 
 // answer checks and passes the answer on.
 func (r *run) answer(ctx context.Context, res *http.Response) {
 	a := platform.ReadAnswer(res.StatusCode, res.Header)
 	r.result.Status = res.StatusCode
 	r.result.Weights = a.Weights
-	if a.Load != nil && r.Loaded != nil {
-		r.Loaded(&r.Placement.Endpoint, a.Load)
-	}
 	switch {
 	case a.RequestID != "" && a.RequestID != r.Request.ID:
 		r.crossed("the answer names another request")
@@ -182,17 +176,13 @@
 		r.refused(&a)
 	case res.StatusCode < 400 && !a.Receipted:
 		r.crossed("the answer has no receipt")
-	case res.StatusCode < 400 && isEvents(res.Header):
+	case res.StatusCode < 400 && attempt.IsEvents(res.Header):
 		r.stream(ctx, res)
 	default:
 		r.whole(ctx, res)
 	}
 }
 
-func isEvents(h http.Header) bool {
-	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
-}
-
 // refused applies rule 2.
 func (r *run) refused(a *platform.Answer) {
 	r.count(meterRefused)
--- a/gateway/cachefeed.go
+++ b/gateway/cachefeed.go
@@ -45,8 +45,8 @@
 	*Gateway
 	client *http.Client
 	wg     conc.WaitGroup
-	// readers has the function that ends the reader of each engine.
-	readers map[hbs.EndpointID]context.CancelFunc
+	// readers has the reader of each engine and store.
+	readers map[hbs.EndpointID]*cacheReader
 }
 
 // Run keeps one reader for each engine until ctx ends.
@@ -54,7 +54,7 @@
 	transport := network.Transport(f.Network)
 	defer transport.CloseIdleConnections()
 	f.client = &http.Client{Transport: transport}
-	f.readers = map[hbs.EndpointID]context.CancelFunc{}
+	f.readers = map[hbs.EndpointID]*cacheReader{}
 	ctx, cancel := context.WithCancel(ctx)
 	defer f.wg.Wait()
 	defer cancel()
@@ -73,35 +73,39 @@
 func (f *cacheFeed) keep(ctx context.Context, r *hbs.Roster) {
 	listed := map[hbs.EndpointID]bool{}
 	for i := range r.Endpoints {
-		e := r.Endpoints[i]
+		e := &r.Endpoints[i]
 		if e.Kind != hbs.KindEngine {
 			continue
 		}
 		listed[e.ID] = true
-		if f.readers[e.ID] != nil {
-			continue
-		}
-		f.read(ctx, &cacheReader{source: e.Address, expect: e.ID, sink: &engineSink{f.fleet, e.ID}}, e.ID)
+		f.read(ctx, e.ID, &cacheReader{source: e.Address, expect: e.ID, sink: &engineSink{f.fleet, e.ID}})
 	}
 	if store := f.table.storeAddress(); store.IsValid() {
 		id := hbs.EndpointID(store.String())
 		listed[id] = true
-		if f.readers[id] == nil {
-			f.read(ctx, &cacheReader{source: store, sink: &keptSink{f.fleet}}, id)
-		}
+		f.read(ctx, id, &cacheReader{source: store, sink: &keptSink{f.fleet}})
 	}
-	for id, end := range f.readers {
+	for id, r := range f.readers {
 		if !listed[id] {
-			end()
+			r.end()
 			delete(f.readers, id)
 		}
 	}
 }
 
-// read starts a reader under a name.
-func (f *cacheFeed) read(ctx context.Context, r *cacheReader, name hbs.EndpointID) {
-	ctx, f.readers[name] = context.WithCancel(ctx)
+// read starts a reader, unless the one of that name reads from the same address.
+// An engine may start again under its id at another one.
+func (f *cacheFeed) read(ctx context.Context, name hbs.EndpointID, r *cacheReader) {
+	if old := f.readers[name]; old != nil {
+		if old.source == r.source {
+			return
+		}
+		old.end()
+		r.sink.take(cacheevent.KindCleared, "", 0)
+	}
+	ctx, r.end = context.WithCancel(ctx)
 	r.cacheFeed, r.parts = f, map[hbs.LevelKey]int{}
+	f.readers[name] = r
 	f.wg.Go(func() { r.run(ctx) })
 }
 
@@ -147,8 +151,10 @@
 	// expect is empty for a store.
 	expect hbs.EndpointID
 	sink   cacheSink
-	epoch  string
-	next   int64
+	// end ends the reader.
+	end   context.CancelFunc
+	epoch string
+	next  int64
 	// parts has the most that was cached of each part.
 	parts map[hbs.LevelKey]int
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -46,7 +46,7 @@
 	x.fill()
 	outcome, err := x.h.dispatcher.Serve(ctx, &x.req, nil, x.sink)
 	if err != nil {
-		return asRefusal(err).Outcome, err
+		return hbs.AsRefusal(err).Outcome, err
 	}
 	return outcome, nil
 }
@@ -55,7 +55,7 @@
 	x.terms, err = platform.DecodeCallerTerms(x.r.Header)
 	x.req.ID = x.terms.ID
 	if err != nil {
-		return badRequest(err)
+		return hbs.BadRequest(err)
 	}
 	return nil
 }
@@ -104,7 +104,7 @@
 		wait = x.terms.Deadline
 	}
 	if err := x.sink.SetReadDeadline(time.Now().Add(wait)); err != nil {
-		return badRequest(errors.Wrap(err, "set read deadline"))
+		return hbs.BadRequest(errors.Wrap(err, "set read deadline"))
 	}
 	limit := x.table.Limits.BodyBytes
 	if limit <= 0 {
@@ -116,12 +116,12 @@
 		return hbs.NotRun(hbs.ReasonTooLarge, fmt.Sprintf("more than %d bytes", tooLarge.Limit), 0)
 	}
 	if err != nil {
-		return badRequest(errors.Wrap(err, "read body"))
+		return hbs.BadRequest(errors.Wrap(err, "read body"))
 	}
 	x.req.Body = data
 	// The server watches for the caller's leaving only without a deadline.
 	if err := x.sink.SetReadDeadline(time.Time{}); err != nil {
-		return badRequest(errors.Wrap(err, "lift read deadline"))
+		return hbs.BadRequest(errors.Wrap(err, "lift read deadline"))
 	}
 	return nil
 }
@@ -208,8 +208,8 @@
 	h.count(meterRequests)
 	h.count(meterOutcomePrefix + string(outcome))
 	h.time(meterTook, time.Since(x.req.Arrived))
-	if at := x.sink.FirstWrite; !at.IsZero() {
-		h.time(meterFirst, at.Sub(x.req.Arrived))
+	if first := x.sink.FirstToken(x.req.Arrived); first > 0 {
+		h.time(meterFirst, first)
 	}
 	fields := []zap.Field{
 		zap.String("request", string(x.req.ID)),
@@ -225,7 +225,7 @@
 		fields = append(fields, zap.String("route", x.route.Name), zap.Int64("table", int64(x.table.Version)))
 	}
 	if err != nil {
-		r := asRefusal(err)
+		r := hbs.AsRefusal(err)
 		fields = append(fields, zap.String("reason", string(r.Reason)), zap.String("detail", r.Detail), zap.Duration("retry_after", r.RetryAfter))
 		x.refuse(r)
 	}
@@ -241,16 +241,3 @@
 		x.h.log.Debug("refusal not told", zap.String("request", string(x.req.ID)), zap.Error(err))
 	}
 }
-
-func badRequest(err error) *hbs.Refusal {
-	return hbs.NotRun(hbs.ReasonBadRequest, err.Error(), 0)
-}
-
-// asRefusal returns the refusal in err's chain, or one for an internal error.
-func asRefusal(err error) *hbs.Refusal {
-	var r *hbs.Refusal
-	if errors.As(err, &r) {
-		return r
-	}
-	return &hbs.Refusal{Outcome: hbs.OutcomeUnknown, Reason: hbs.ReasonInternal, Detail: err.Error()}
-}
--- a/gateway/feeds.go
+++ b/gateway/feeds.go
@@ -9,41 +9,53 @@
 	"github.com/hornbeamstage/hornbeamstage/platform"
 )
 
-// configFeed keeps the table of routes.
-type configFeed struct{ *Gateway }
+// lastingFeed is a feed of objects that are replaced by newer ones and never
+// removed. It takes each alone.
+type lastingFeed struct {
+	// take takes an object.
+	take func(*hbs.Object)
+	// confirm tells that everything up to a time was taken.
+	confirm func(asOf time.Time)
+}
 
-func (f *configFeed) replace(objs []hbs.Object) {
+func (f *lastingFeed) replace(objs []hbs.Object) {
 	for i := range objs {
 		f.take(&objs[i])
 	}
 }
 
-func (f *configFeed) change(ev hbs.WatchEvent) {
+func (f *lastingFeed) change(ev hbs.WatchEvent) {
 	if !ev.Deleted {
 		f.take(&ev.Object)
 	}
 }
 
-// take adopts a newer table. One that can't be decoded leaves the old in force.
-func (f *configFeed) take(obj *hbs.Object) {
+func (f *lastingFeed) current(asOf time.Time) { f.confirm(asOf) }
+
+func (f *lastingFeed) returned() {}
+
+// configFeed returns the feed that keeps the table of routes.
+func (g *Gateway) configFeed() feed {
+	return &lastingFeed{take: g.takeConfig, confirm: g.table.confirm}
+}
+
+// takeConfig adopts a newer table. One that can't be decoded leaves the old in
+// force.
+func (g *Gateway) takeConfig(obj *hbs.Object) {
 	if obj.Name != platform.ConfigName {
 		return
 	}
 	t, err := platform.DecodeRoutes(obj.Value)
 	if err != nil {
-		f.Log.Error("route table not adopted", zap.Uint64("revision", uint64(obj.Revision)), zap.Error(err))
+		g.Log.Error("route table not adopted", zap.Uint64("revision", uint64(obj.Revision)), zap.Error(err))
 		return
 	}
-	if f.table.adopt(t) {
-		f.Log.Info("route table adopted", zap.Int64("version", int64(t.Version)), zap.Uint64("revision", uint64(obj.Revision)),
+	if g.table.adopt(t) {
+		g.Log.Info("route table adopted", zap.Int64("version", int64(t.Version)), zap.Uint64("revision", uint64(obj.Revision)),
 			zap.Int("routes", len(t.Routes)))
 	}
 }
 
-func (f *configFeed) current(asOf time.Time) { f.table.confirm(asOf) }
-
-func (f *configFeed) returned() {}
-
 // serverFeed keeps the roster of endpoints.
 type serverFeed struct{ *Gateway }
 
@@ -116,38 +128,25 @@
 
 func (f *serverFeed) returned() { f.directory.Returned() }
 
-// versionFeed keeps the versions of weights that are named.
-type versionFeed struct {
-	*Gateway
+// versionFeed returns the feed that keeps the versions of weights that are named.
+func (g *Gateway) versionFeed() feed {
 	// asOf is when the versions were known to be the newest ones; zero before the
 	// first listing.
-	asOf time.Time
-}
-
-func (f *versionFeed) replace(objs []hbs.Object) {
-	for i := range objs {
-		f.take(&objs[i])
+	var asOf time.Time
+	return &lastingFeed{
+		take:    func(obj *hbs.Object) { g.takeVersion(obj, asOf) },
+		confirm: func(at time.Time) { asOf = at },
 	}
 }
 
-func (f *versionFeed) change(ev hbs.WatchEvent) {
-	if !ev.Deleted {
-		f.take(&ev.Object)
-	}
-}
-
-// take notes a version. It was not named before the feed was last current.
-func (f *versionFeed) take(obj *hbs.Object) {
+// takeVersion notes a version that was not named before after.
+func (g *Gateway) takeVersion(obj *hbs.Object, after time.Time) {
 	n, err := platform.DecodeNamedWeights(obj.Value)
 	if err != nil {
-		f.Log.Error("named weights not taken", zap.Uint64("revision", uint64(obj.Revision)), zap.Error(err))
+		g.Log.Error("named weights not taken", zap.Uint64("revision", uint64(obj.Revision)), zap.Error(err))
 		return
 	}
-	if f.versions.name(n, f.asOf) {
-		f.Log.Info("weights named", zap.String("model", string(n.Model)), zap.Int64("version", n.Version), zap.Uint64("revision", uint64(obj.Revision)))
+	if g.versions.name(n, after) {
+		g.Log.Info("weights named", zap.String("model", string(n.Model)), zap.Int64("version", n.Version), zap.Uint64("revision", uint64(obj.Revision)))
 	}
 }
-
-func (f *versionFeed) current(asOf time.Time) { f.asOf = asOf }
-
-func (f *versionFeed) returned() {}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -72,15 +72,18 @@
 // fleet is two instances before a store and some endpoints in one bubble.
 type fleet struct {
 	*WithT
-	fabric    memnet.Fabric
-	store     *store.Platform
-	engines   []*pool.Endpoint
-	services  []*pool.Endpoint
+	fabric   memnet.Fabric
+	store    *store.Platform
+	engines  []*pool.Endpoint
+	services []*pool.Endpoint
+	// stopped has the function that ends each endpoint.
+	stopped   map[*pool.Endpoint]context.CancelFunc
 	instances [2]*gateway.Gateway
 	// ended[i] gets the result of instance i, kill[i] ends it at once.
 	ended [2]chan error
 	kill  [2]context.CancelFunc
 	logs  *observer.ObservedLogs
+	log   *zap.Logger
 	// asleep is for how long the machines were suspended.
 	mu     sync.Mutex
 	asleep time.Duration
@@ -108,6 +111,7 @@
 	n := f.fabric.Network(domain)
 	f.client = &http.Client{Transport: network.Transport(n)}
 	f.store = &store.Platform{Address: at(hostStore, 80), Network: n}
+	f.stopped = map[*pool.Endpoint]context.CancelFunc{}
 	f.configure(1, goodKey)
 	f.name(1)
 	for i := range 4 {
@@ -118,9 +122,9 @@
 	}
 	f.wg.Go(func() { _ = f.store.Run(f.ctx) })
 	core, logs := observer.New(zapcore.InfoLevel)
-	f.logs = logs
+	f.logs, f.log = logs, zap.New(core)
 	for i := range f.instances {
-		f.startInstance(i, zap.New(core))
+		f.startInstance(i)
 	}
 }
 
@@ -128,19 +132,32 @@
 	e := &pool.Endpoint{
 		ID: hbs.EndpointID(fmt.Sprintf("e%d", i)), Service: service, Domain: domain, Model: model,
 		Address: at(hostPool+i, 80), Network: f.fabric.Network(domain),
-		Work: 20 * time.Millisecond, Gap: 10 * time.Millisecond, Events: 6, Load: time.Second,
+		Work: 20 * time.Millisecond, Gap: 10 * time.Millisecond, Events: 6, Load: time.Second, Born: 1,
 	}
-	e.Changed = func() { f.register(e) }
+	f.serve(e)
 	f.register(e)
-	f.wg.Go(func() { _ = e.Serve(f.ctx) })
 	return e
 }
 
+// serve starts an endpoint that registers its changes.
+func (f *fleet) serve(e *pool.Endpoint) {
+	e.Changed = func() { f.register(e) }
+	ctx, cancel := context.WithCancel(f.ctx)
+	f.stopped[e] = cancel
+	f.wg.Go(func() { _ = e.Serve(ctx) })
+}
+
+// stop ends an endpoint without a word.
+func (f *fleet) stop(e *pool.Endpoint) {
+	f.stopped[e]()
+	time.Sleep(time.Millisecond)
+}
+
 func (f *fleet) register(e *pool.Endpoint) {
 	f.Expect(f.store.Put(platform.KindServers, string(e.ID), e.Record())).To(Succeed())
 }
 
-func (f *fleet) startInstance(i int, log *zap.Logger) {
+func (f *fleet) startInstance(i int) {
 	f.instances[i] = &gateway.Gateway{
 		Boot: &platform.Boot{
 			Instance: hbs.InstanceID(fmt.Sprintf("i%d", i+1)), Domain: domain,
@@ -152,7 +169,7 @@
 				RetryRatio: 0.2, LeaseTime: 3 * time.Second, ConvergeTime: converge,
 			},
 		},
-		Network: f.fabric.Network(domain), Log: log, Metrics: metrics.NewRegistry(),
+		Network: f.fabric.Network(domain), Log: f.log, Metrics: metrics.NewRegistry(),
 		Knobs: catalog.Knobs(), Meters: catalog.Meters(), Seed: uint64(i + 1), Suspended: f.suspended,
 	}
 	var ctx context.Context
--- a/outcome.go
+++ b/outcome.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net/http"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Outcome is what became of a request, as the caller is told.
@@ -121,6 +123,19 @@
 	return fmt.Sprintf("%s: %s: %s", r.Outcome, r.Reason.Info().Title, r.Detail)
 }
 
+// AsRefusal returns the refusal in err's chain, or one for an internal error
+// after which the request may have run.
+func AsRefusal(err error) *Refusal {
+	var r *Refusal
+	if errors.As(err, &r) {
+		return r
+	}
+	return &Refusal{Outcome: OutcomeUnknown, Reason: ReasonInternal, Detail: err.Error()}
+}
+
+// BadRequest returns a refusal of a request that can't be read.
+func BadRequest(err error) *Refusal { return NotRun(ReasonBadRequest, err.Error(), 0) }
+
 // NotRun returns a refusal of a request that reached no endpoint.
 func NotRun(reason Reason, detail string, retryAfter time.Duration) *Refusal {
 	return &Refusal{Outcome: OutcomeNotRun, Reason: reason, Detail: detail, RetryAfter: retryAfter}
--- a/route/route.go
+++ b/route/route.go
@@ -117,7 +117,10 @@
 	// Keyed tells that requests need a key of a workspace.
 	Keyed bool
 
-	hosts map[string][]*Route
+	hosts    map[string][]*Route
+	services map[hbs.ServiceName]*Service
+	// store is the first store of kept KV cache, nil without one.
+	store *Store
 	// keys are hashed, so that a lookup takes the same time whatever the key.
 	keys map[[sha256.Size]byte]*Workspace
 }
@@ -131,7 +134,7 @@
 }
 
 // Index checks the table and prepares it for lookups. It is called once, after
-// Routes is complete.
+// Routes and Services are complete.
 func (t *Table) Index() (err error) {
 	defer func() { err = errors.Wrapf(err, "route table %d", t.Version) }()
 	t.hosts = map[string][]*Route{}
@@ -143,6 +146,14 @@
 		host := normalHost(r.Host)
 		t.hosts[host] = append(t.hosts[host], r)
 	}
+	t.services = map[hbs.ServiceName]*Service{}
+	for i := range t.Services {
+		s := &t.Services[i]
+		t.services[s.Name] = s
+		if t.store == nil {
+			t.store = s.Store
+		}
+	}
 	for _, routes := range t.hosts {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
@@ -186,24 +197,10 @@
 }
 
 // Service returns the service of that name, or nil.
-func (t *Table) Service(name hbs.ServiceName) *Service {
-	for i := range t.Services {
-		if t.Services[i].Name == name {
-			return &t.Services[i]
-		}
-	}
-	return nil
-}
+func (t *Table) Service(name hbs.ServiceName) *Service { return t.services[name] }
 
 // Store returns the first store of kept KV cache, or nil.
-func (t *Table) Store() *Store {
-	for i := range t.Services {
-		if s := t.Services[i].Store; s != nil {
-			return s
-		}
-	}
-	return nil
-}
+func (t *Table) Store() *Store { return t.store }
 
 // Choose draws the service of a request among those that usable allows, or
 // among all when it allows none (rule 4).
--- a/standin/pool/pool.go
+++ b/standin/pool/pool.go
@@ -41,6 +41,8 @@
 	Cross bool
 	// Forget answers orders with a cut connection after they were taken.
 	Forget bool
+	// Busy refuses orders as if another one were being carried out.
+	Busy bool
 }
 
 // Endpoint is one endpoint. Exported fields are set before Serve.
@@ -58,6 +60,8 @@
 	Events int
 	// Load is the time to change weights.
 	Load time.Duration
+	// Born is when this life began, in Unix milliseconds.
+	Born int64
 	// Changed is called when the record changes; may be nil.
 	Changed func()
 
@@ -119,7 +123,7 @@
 
 // report returns what the endpoint tells of itself. The caller holds mu.
 func (e *Endpoint) report() record {
-	r := record{Busy: e.loading, Sequence: len(e.orders), Born: 1}
+	r := record{Busy: e.loading, Sequence: len(e.orders), Born: e.Born}
 	if e.Model != "" {
 		r.Models = []model{{string(e.Model), max(e.weights, 1)}}
 	}
@@ -223,7 +227,7 @@
 	switch {
 	case max(e.weights, 1) == o.Version:
 		return http.StatusOK, false
-	case e.loading || o.Orders != len(e.orders):
+	case e.loading || e.faults.Busy || o.Orders != len(e.orders):
 		return http.StatusConflict, false
 	}
 	e.orders = append(e.orders, o)
