placement: long answers avoid engines that are about to change their weights

A third of twelve engines changed at once, so the last one had named weights after 19 to 23 s, of 21 allowed.

Change: the roster marks the engines that are next (converge.Next, the same order as that of the orders); placement adds a part of the time of the answer to their cost (placement.due_cost 0.1).

--- a/converge/converge.go
+++ b/converge/converge.go
@@ -172,7 +172,7 @@
 		}
 	}
 	for m, n := range of {
-		of[m] = int(math.Ceil(changeShare * float64(n)))
+		of[m] = share(n)
 	}
 	for i := range r.Endpoints {
 		if e := &r.Endpoints[i]; c.steps[e.ID] {
@@ -182,6 +182,36 @@
 	return of, c.pace.atOnce(engines) - len(c.steps)
 }
 
+// Next returns the engines that are next to change their weights: as many of each
+// model as may change at once, the oldest first. Those that change already are
+// not live.
+func Next(es []hbs.Endpoint, wanted func(hbs.ModelName) int64) map[hbs.EndpointID]bool {
+	var lag []*hbs.Endpoint
+	engines := map[hbs.ModelName]int{}
+	for i := range es {
+		e := &es[i]
+		if !stays(e) {
+			continue
+		}
+		engines[e.Model]++
+		if e.State == hbs.StateLive && number(e) < wanted(e.Model) {
+			lag = append(lag, e)
+		}
+	}
+	slices.SortStableFunc(lag, func(a, b *hbs.Endpoint) int { return cmp.Compare(number(a), number(b)) })
+	next, taken := map[hbs.EndpointID]bool{}, map[hbs.ModelName]int{}
+	for _, e := range lag {
+		if taken[e.Model] < share(engines[e.Model]) {
+			taken[e.Model]++
+			next[e.ID] = true
+		}
+	}
+	return next
+}
+
+// share returns how many of n engines may change at once.
+func share(n int) int { return int(math.Ceil(changeShare * float64(n))) }
+
 // behind returns the engines that lag and may be asked, in the order in which
 // they are (C2, C7).
 func (c *Controller) behind(r *hbs.Roster) (lag []*hbs.Endpoint) {
--- a/converge/pace_test.go
+++ b/converge/pace_test.go
@@ -6,6 +6,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	hbs "github.com/hornbeamstage/hornbeamstage"
 )
 
 func TestConverge(t *testing.T) {
@@ -66,3 +68,18 @@
 		Expect(*p).To(Equal(pace{loads: 2}))
 	})
 })
+
+var _ = It("next are the live engines with the oldest weights, a share of each model", func() {
+	engine := func(id hbs.EndpointID, model hbs.ModelName, weights hbs.WeightsVersion, state hbs.EndpointState) hbs.Endpoint {
+		return hbs.Endpoint{ID: id, Kind: hbs.KindEngine, Model: model, Weights: weights, State: state}
+	}
+	es := []hbs.Endpoint{
+		engine("a", "m", "2", hbs.StateLive), engine("b", "m", "1", hbs.StateDraining), engine("c", "m", "1", hbs.StateLive),
+		engine("d", "m", "2", hbs.StateLive), engine("e", "m", "3", hbs.StateLive), engine("f", "m", "2", hbs.StateLive),
+		engine("g", "n", "1", hbs.StateLive), engine("h", "o", "", hbs.StateLive), engine("i", "m", "1", hbs.StateLeaving),
+	}
+	wanted := map[hbs.ModelName]int64{"m": 3, "n": 2, "o": 2}
+	next := Next(es, func(m hbs.ModelName) int64 { return wanted[m] })
+	// Of six engines of m that stay, three may change at once.
+	Expect(next).To(Equal(map[hbs.EndpointID]bool{"c": true, "a": true, "d": true, "g": true}))
+})
--- a/endpoint.go
+++ b/endpoint.go
@@ -83,6 +83,9 @@
 	Capabilities Capabilities `json:"capabilities" cbor:"14,keyasint"`
 	// Revision is that of the record in the platform. Only rosters have it.
 	Revision Revision `json:"-" cbor:"-" toml:"-"`
+	// Due engines are about to change their weights, for which what runs there has
+	// to end. Only rosters tell.
+	Due bool `json:"-" cbor:"-" toml:"-"`
 }
 
 // Serves reports whether e can run a request for model with adapter.
--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -5,6 +5,7 @@
 	"time"
 
 	hbs "github.com/hornbeamstage/hornbeamstage"
+	"github.com/hornbeamstage/hornbeamstage/converge"
 	"github.com/hornbeamstage/hornbeamstage/platform"
 )
 
@@ -72,6 +73,11 @@
 	return v.newest(m)
 }
 
+// next returns the engines that are next to change their weights.
+func (g *Gateway) next(es []hbs.Endpoint) map[hbs.EndpointID]bool {
+	return converge.Next(es, g.versions.wanted)
+}
+
 // tooOld reports whether the weights of e should have been replaced by now.
 func (v *versions) tooOld(e *hbs.Endpoint) bool {
 	have, err := platform.ParseWeights(e.Weights)
--- a/placement/cost.go
+++ b/placement/cost.go
@@ -86,6 +86,9 @@
 	m.cost = m.first + t.batchCost*total.Running/slots
 	m.cost += t.stallCost * miss * g.rates.perToken * min(total.Running, slots)
 	m.cost += f.spreadCost(g, m) * g.rates.perToken * offSet(m, prompt, g.shared)
+	if m.rec.Due { // rule 10
+		m.cost += t.dueCost * g.rates.perOutput * float64(req.ExpectedTokens)
+	}
 	if m.domain.name != f.Self.Domain {
 		m.cost += t.hop
 	}
--- a/placement/knobs.go
+++ b/placement/knobs.go
@@ -18,6 +18,7 @@
 	keyBatchCost   hbs.KnobKey = "placement.batch_cost"
 	keyImportRate  hbs.KnobKey = "placement.import_rate"
 	keyKeepGain    hbs.KnobKey = "placement.keep_gain"
+	keyDueCost     hbs.KnobKey = "placement.due_cost"
 	keyHop         hbs.KnobKey = "placement.hop"
 	keyBeliefs     hbs.KnobKey = "placement.belief_entries"
 	keyReportEvery hbs.KnobKey = "placement.report_interval"
@@ -67,6 +68,11 @@
 		Title: "cost of joining a full batch",
 		Text:  "Raise it to even out the batches, which shortens the time between tokens.",
 	},
+	{
+		Key: keyDueCost, Unit: hbs.UnitShare, Default: 0.1, Min: 0, Max: 100,
+		Title: "cost of an answer at an engine that is about to change its weights, in the time that the answer takes",
+		Text:  "The engine changes only when its answers have ended. Raise it when changes wait for long answers.",
+	},
 	{
 		Key: keyImportRate, Unit: hbs.UnitTokens, Default: 100_000, Min: 1, Max: 1e9,
 		Title: "tokens of kept KV cache that an engine imports each second",
@@ -116,6 +122,7 @@
 	// keptSpreadCost is spreadCost where lost prefixes are loaded again.
 	keptSpreadCost float64
 	batchCost      float64
+	dueCost        float64
 	hop            float64
 	// importRate is in tokens a second, as is transferRate, that between engines; 0
 	// where they can't load from each other.
@@ -146,6 +153,7 @@
 		spreadCost:     f.Policy.Number(keySpreadCost, at),
 		keptSpreadCost: f.Policy.Number(keyKeptSpread, at),
 		batchCost:      f.Policy.Duration(keyBatchCost, at).Seconds(),
+		dueCost:        f.Policy.Number(keyDueCost, at),
 		importRate:     max(1, f.Policy.Number(keyImportRate, at)),
 		keepGain:       int(f.Policy.Number(keyKeepGain, at)),
 		hop:            f.Policy.Duration(keyHop, at).Seconds(),
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -17,6 +17,7 @@
 //     until its record has them, for at most ChangeTime: it would refuse it.
 //  6. Engines with weights that are too old get no new work, unless no engine of
 //     their model has newer ones.
+//  7. Engines that are next to change their weights are marked as due.
 package roster
 
 import (
@@ -40,6 +41,9 @@
 	// TooOld reports whether an engine's weights are too old for new work (rule 6);
 	// nil if none are.
 	TooOld func(*hbs.Endpoint) bool
+	// Next returns the engines that are next to change their weights (rule 7); nil
+	// if none are.
+	Next func([]hbs.Endpoint) map[hbs.EndpointID]bool
 
 	once sync.Once
 
@@ -51,6 +55,8 @@
 	changes map[hbs.EndpointID]change
 	// out are the engines that get no new work in roster, by rules 5 and 6.
 	out map[hbs.EndpointID]bool
+	// due are those of rule 7.
+	due map[hbs.EndpointID]bool
 	// backAt is when the platform was last reached again after an absence.
 	backAt  time.Time
 	roster  *hbs.Roster
@@ -199,7 +205,7 @@
 			dropped = true
 		}
 	}
-	if dropped || !maps.Equal(d.out, d.outOfUse()) {
+	if dropped || !maps.Equal(d.out, d.outOfUse()) || !maps.Equal(d.due, d.next(d.roster.Endpoints)) {
 		d.publish()
 	}
 }
@@ -255,7 +261,18 @@
 		r.Endpoints = append(r.Endpoints, e)
 	}
 	slices.SortFunc(r.Endpoints, func(a, b hbs.Endpoint) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	d.due = d.next(r.Endpoints)
+	for i := range r.Endpoints {
+		r.Endpoints[i].Due = d.due[r.Endpoints[i].ID]
+	}
 	d.roster = r
 	close(d.changed)
 	d.changed = make(chan struct{})
 }
+
+func (d *Directory) next(es []hbs.Endpoint) map[hbs.EndpointID]bool {
+	if d.Next == nil {
+		return nil
+	}
+	return d.Next(es)
+}
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -39,6 +39,16 @@
 	return m
 }
 
+// due returns the endpoints of a directory that are marked.
+func due(d *roster.Directory) (ids []hbs.EndpointID) {
+	for _, e := range d.Roster().Endpoints {
+		if e.Due {
+			ids = append(ids, e.ID)
+		}
+	}
+	return ids
+}
+
 var _ = Describe("Directory", func() {
 	bubble := func(f func(g *WithT, d *roster.Directory)) {
 		synctest.Test(suite, func(t *testing.T) {
@@ -118,4 +128,29 @@
 			g.Expect(states(d)).To(HaveKeyWithValue(hbs.EndpointID("b"), hbs.StateLive))
 		})
 	})
+
+	It("marks the engines that are next to change their weights, until they change (rule 7)", func() {
+		bubble(func(g *WithT, d *roster.Directory) {
+			d.ChangeTime = time.Minute
+			named := false
+			d.Next = func(es []hbs.Endpoint) map[hbs.EndpointID]bool {
+				for i := range es {
+					if named && es[i].State == hbs.StateLive && es[i].Weights == "1" {
+						return map[hbs.EndpointID]bool{es[i].ID: true}
+					}
+				}
+				return nil
+			}
+			d.Put(engine("a", "1"))
+			d.Put(engine("b", "1"))
+			g.Expect(due(d)).To(BeEmpty())
+			named = true
+			d.Expire()
+			g.Expect(due(d)).To(ConsistOf(hbs.EndpointID("a")))
+			d.Changing("a", "1")
+			g.Expect(due(d)).To(ConsistOf(hbs.EndpointID("b")))
+			d.Put(engine("b", "2"))
+			g.Expect(due(d)).To(BeEmpty())
+		})
+	})
 })
