placement: answers at engines with older weights cost 30 ms more

Change: the roster tells how an engine's weights stand to the newest ones (done, behind, next); those behind cost placement.old_cost more.

--- a/converge/converge.go
+++ b/converge/converge.go
@@ -182,10 +182,10 @@
 	return of, c.pace.atOnce(engines) - len(c.steps)
 }
 
-// Next returns the engines that are next to change their weights: as many of each
-// model as may change at once, the oldest first. Those that change already are
-// not live.
-func Next(es []hbs.Endpoint, wanted func(hbs.ModelName) int64) map[hbs.EndpointID]bool {
+// Lagging returns the engines with older weights than wanted. Next are as many of
+// each model as may change at once, the oldest first. Those that change already
+// are not live.
+func Lagging(es []hbs.Endpoint, wanted func(hbs.ModelName) int64) map[hbs.EndpointID]hbs.Rollout {
 	var lag []*hbs.Endpoint
 	engines := map[hbs.ModelName]int{}
 	for i := range es {
@@ -199,14 +199,15 @@
 		}
 	}
 	slices.SortStableFunc(lag, func(a, b *hbs.Endpoint) int { return cmp.Compare(number(a), number(b)) })
-	next, taken := map[hbs.EndpointID]bool{}, map[hbs.ModelName]int{}
+	rollout, taken := map[hbs.EndpointID]hbs.Rollout{}, map[hbs.ModelName]int{}
 	for _, e := range lag {
+		rollout[e.ID] = hbs.RolloutBehind
 		if taken[e.Model] < share(engines[e.Model]) {
 			taken[e.Model]++
-			next[e.ID] = true
+			rollout[e.ID] = hbs.RolloutNext
 		}
 	}
-	return next
+	return rollout
 }
 
 // share returns how many of n engines may change at once.
--- a/converge/pace_test.go
+++ b/converge/pace_test.go
@@ -79,7 +79,9 @@
 		engine("g", "n", "1", hbs.StateLive), engine("h", "o", "", hbs.StateLive), engine("i", "m", "1", hbs.StateLeaving),
 	}
 	wanted := map[hbs.ModelName]int64{"m": 3, "n": 2, "o": 2}
-	next := Next(es, func(m hbs.ModelName) int64 { return wanted[m] })
+	lagging := Lagging(es, func(m hbs.ModelName) int64 { return wanted[m] })
 	// Of six engines of m that stay, three may change at once.
-	Expect(next).To(Equal(map[hbs.EndpointID]bool{"c": true, "a": true, "d": true, "g": true}))
+	Expect(lagging).To(Equal(map[hbs.EndpointID]hbs.Rollout{
+		"c": hbs.RolloutNext, "a": hbs.RolloutNext, "d": hbs.RolloutNext, "f": hbs.RolloutBehind, "g": hbs.RolloutNext,
+	}))
 })
--- a/endpoint.go
+++ b/endpoint.go
@@ -56,6 +56,19 @@
 	Deduplicates bool `json:"deduplicates,omitempty" toml:"deduplicates" cbor:"9,keyasint,omitempty"`
 }
 
+// Rollout is how an engine's weights stand to the newest ones of its model.
+type Rollout string
+
+const (
+	// RolloutDone: it has the newest ones, or none are known.
+	RolloutDone Rollout = ""
+	// RolloutBehind: it has older ones.
+	RolloutBehind Rollout = "behind"
+	// RolloutNext: it has older ones and is about to change them, for which what
+	// runs there has to end.
+	RolloutNext Rollout = "next"
+)
+
 // Endpoint is the record of one back end. Records are immutable: a change
 // makes a new one.
 type Endpoint struct {
@@ -83,9 +96,9 @@
 	Capabilities Capabilities `json:"capabilities" cbor:"14,keyasint"`
 	// Revision is that of the record in the platform. Only rosters have it.
 	Revision Revision `json:"-" cbor:"-" toml:"-"`
-	// Due engines are about to change their weights, for which what runs there has
-	// to end. Only rosters tell.
-	Due bool `json:"-" cbor:"-" toml:"-"`
+	// Rollout tells how an engine's weights stand to the newest ones. Only rosters
+	// have it.
+	Rollout Rollout `json:"-" cbor:"-" toml:"-"`
 }
 
 // Serves reports whether e can run a request for model with adapter.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -178,7 +178,7 @@
 		Policy: g.policy, Metrics: g.Metrics,
 	}
 	g.versions = &versions{Converge: b.Bounds.ConvergeTime}
-	g.directory = &roster.Directory{Self: self, ReturnTime: returnTime, ChangeTime: converge.Patience, TooOld: g.versions.tooOld, Next: g.next}
+	g.directory = &roster.Directory{Self: self, ReturnTime: returnTime, ChangeTime: converge.Patience, TooOld: g.versions.tooOld, Lagging: g.lagging}
 	g.table = &tables{Suspended: g.Suspended}
 	g.fleet = &placement.Fleet{
 		Directory: g.directory, Policy: g.policy, Self: self, Network: g.Network, Metrics: g.Metrics,
--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -73,9 +73,9 @@
 	return v.newest(m)
 }
 
-// next returns the engines that are next to change their weights.
-func (g *Gateway) next(es []hbs.Endpoint) map[hbs.EndpointID]bool {
-	return converge.Next(es, g.versions.wanted)
+// lagging returns the engines with older weights than the newest ones.
+func (g *Gateway) lagging(es []hbs.Endpoint) map[hbs.EndpointID]hbs.Rollout {
+	return converge.Lagging(es, g.versions.wanted)
 }
 
 // tooOld reports whether the weights of e should have been replaced by now.
--- a/placement/cost.go
+++ b/placement/cost.go
@@ -86,9 +86,7 @@
 	m.cost = m.first + t.batchCost*total.Running/slots
 	m.cost += t.stallCost * miss * g.rates.perToken * min(total.Running, slots)
 	m.cost += f.spreadCost(g, m) * g.rates.perToken * offSet(m, prompt, g.shared)
-	if m.rec.Due { // rule 10
-		m.cost += t.dueCost * g.rates.perOutput * float64(req.ExpectedTokens)
-	}
+	m.cost += t.rolloutCost(g, m, req)
 	if m.domain.name != f.Self.Domain {
 		m.cost += t.hop
 	}
@@ -98,6 +96,17 @@
 	m.full = full(m, t, req, total, miss*perToken)
 }
 
+// rolloutCost returns what rule 10 of Fleet adds to the cost of m.
+func (t *tuning) rolloutCost(g *group, m *member, req *hbs.Request) (cost float64) {
+	switch m.rec.Rollout {
+	case hbs.RolloutNext:
+		return t.oldCost + t.dueCost*g.rates.perOutput*float64(req.ExpectedTokens)
+	case hbs.RolloutBehind:
+		return t.oldCost
+	}
+	return 0
+}
+
 // late tells whether the answer of m is predicted to end after the deadline.
 func (g *group) late(m *member, req *hbs.Request, now time.Time) bool {
 	need := seconds(m.first + g.rates.perOutput*float64(req.ExpectedTokens))
--- a/placement/fleet.go
+++ b/placement/fleet.go
@@ -62,8 +62,9 @@
 //     their wait, they have the slots of requests at home everywhere, and an
 //     endpoint where they would come late is taken only when all others are full
 //     or late too.
-//  10. Long answers cost more at engines that are about to change their weights,
-//     as the change waits for them.
+//  10. Answers cost more at engines with older weights than the newest ones, and
+//     long ones still more at those that are about to change them, as the change
+//     waits for them.
 type Fleet struct {
 	Directory hbs.Directory
 	Policy    hbs.Policy
--- a/placement/knobs.go
+++ b/placement/knobs.go
@@ -19,6 +19,7 @@
 	keyImportRate  hbs.KnobKey = "placement.import_rate"
 	keyKeepGain    hbs.KnobKey = "placement.keep_gain"
 	keyDueCost     hbs.KnobKey = "placement.due_cost"
+	keyOldCost     hbs.KnobKey = "placement.old_cost"
 	keyHop         hbs.KnobKey = "placement.hop"
 	keyBeliefs     hbs.KnobKey = "placement.belief_entries"
 	keyReportEvery hbs.KnobKey = "placement.report_interval"
@@ -73,6 +74,11 @@
 		Title: "cost of an answer at an engine that is about to change its weights, in the time that the answer takes",
 		Text:  "The engine changes only when its answers have ended. Raise it when changes wait for long answers.",
 	},
+	{
+		Key: keyOldCost, Unit: hbs.UnitDuration, Default: 0.03, Min: 0, Max: 10,
+		Title: "cost of an answer at an engine with older weights than the newest ones",
+		Text:  "How much later an answer may come that has the newest weights.",
+	},
 	{
 		Key: keyImportRate, Unit: hbs.UnitTokens, Default: 100_000, Min: 1, Max: 1e9,
 		Title: "tokens of kept KV cache that an engine imports each second",
@@ -123,6 +129,7 @@
 	keptSpreadCost float64
 	batchCost      float64
 	dueCost        float64
+	oldCost        float64
 	hop            float64
 	// importRate is in tokens a second, as is transferRate, that between engines; 0
 	// where they can't load from each other.
@@ -154,6 +161,7 @@
 		keptSpreadCost: f.Policy.Number(keyKeptSpread, at),
 		batchCost:      f.Policy.Duration(keyBatchCost, at).Seconds(),
 		dueCost:        f.Policy.Number(keyDueCost, at),
+		oldCost:        f.Policy.Duration(keyOldCost, at).Seconds(),
 		importRate:     max(1, f.Policy.Number(keyImportRate, at)),
 		keepGain:       int(f.Policy.Number(keyKeepGain, at)),
 		hop:            f.Policy.Duration(keyHop, at).Seconds(),
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -17,7 +17,8 @@
 //     until its record has them, for at most ChangeTime: it would refuse it.
 //  6. Engines with weights that are too old get no new work, unless no engine of
 //     their model has newer ones.
-//  7. Engines that are next to change their weights are marked as due.
+//  7. Engines with older weights than the newest ones are marked, and those that
+//     are next to change them.
 package roster
 
 import (
@@ -41,9 +42,9 @@
 	// TooOld reports whether an engine's weights are too old for new work (rule 6);
 	// nil if none are.
 	TooOld func(*hbs.Endpoint) bool
-	// Next returns the engines that are next to change their weights (rule 7); nil
-	// if none are.
-	Next func([]hbs.Endpoint) map[hbs.EndpointID]bool
+	// Lagging returns the engines with older weights than the newest ones (rule 7);
+	// nil if none have.
+	Lagging func([]hbs.Endpoint) map[hbs.EndpointID]hbs.Rollout
 
 	once sync.Once
 
@@ -55,8 +56,8 @@
 	changes map[hbs.EndpointID]change
 	// out are the engines that get no new work in roster, by rules 5 and 6.
 	out map[hbs.EndpointID]bool
-	// due are those of rule 7.
-	due map[hbs.EndpointID]bool
+	// lagging are those of rule 7.
+	lagging map[hbs.EndpointID]hbs.Rollout
 	// backAt is when the platform was last reached again after an absence.
 	backAt  time.Time
 	roster  *hbs.Roster
@@ -205,7 +206,7 @@
 			dropped = true
 		}
 	}
-	if dropped || !maps.Equal(d.out, d.outOfUse()) || !maps.Equal(d.due, d.next(d.roster.Endpoints)) {
+	if dropped || !maps.Equal(d.out, d.outOfUse()) || !maps.Equal(d.lagging, d.lag(d.roster.Endpoints)) {
 		d.publish()
 	}
 }
@@ -261,18 +262,18 @@
 		r.Endpoints = append(r.Endpoints, e)
 	}
 	slices.SortFunc(r.Endpoints, func(a, b hbs.Endpoint) int { return strings.Compare(string(a.ID), string(b.ID)) })
-	d.due = d.next(r.Endpoints)
+	d.lagging = d.lag(r.Endpoints)
 	for i := range r.Endpoints {
-		r.Endpoints[i].Due = d.due[r.Endpoints[i].ID]
+		r.Endpoints[i].Rollout = d.lagging[r.Endpoints[i].ID]
 	}
 	d.roster = r
 	close(d.changed)
 	d.changed = make(chan struct{})
 }
 
-func (d *Directory) next(es []hbs.Endpoint) map[hbs.EndpointID]bool {
-	if d.Next == nil {
+func (d *Directory) lag(es []hbs.Endpoint) map[hbs.EndpointID]hbs.Rollout {
+	if d.Lagging == nil {
 		return nil
 	}
-	return d.Next(es)
+	return d.Lagging(es)
 }
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -42,7 +42,7 @@
 // due returns the endpoints of a directory that are marked.
 func due(d *roster.Directory) (ids []hbs.EndpointID) {
 	for _, e := range d.Roster().Endpoints {
-		if e.Due {
+		if e.Rollout == hbs.RolloutNext {
 			ids = append(ids, e.ID)
 		}
 	}
@@ -133,10 +133,10 @@
 		bubble(func(g *WithT, d *roster.Directory) {
 			d.ChangeTime = time.Minute
 			named := false
-			d.Next = func(es []hbs.Endpoint) map[hbs.EndpointID]bool {
+			d.Lagging = func(es []hbs.Endpoint) map[hbs.EndpointID]hbs.Rollout {
 				for i := range es {
 					if named && es[i].State == hbs.StateLive && es[i].Weights == "1" {
-						return map[hbs.EndpointID]bool{es[i].ID: true}
+						return map[hbs.EndpointID]hbs.Rollout{es[i].ID: hbs.RolloutNext}
 					}
 				}
 				return nil
