--- a/Makefile
+++ b/Makefile
@@ -32,3 +32,16 @@
 	@for day in deploy/days/*.toml; do \
 		$(BENCH) run $(FILE) $$day --seed $(SEED) --why "$(WHY)" | grep -A1 "score  worth" | tail -n 1; \
 	done
+
+# stretch plays days on stretched copies of a site (deploy/stretch.awk), which
+# stay under STRETCHED.
+STRETCHED ?= /tmp/stretched
+RULES ?= slow_store many_workspaces many_small one_domain slow_weights quick_weights slow_links
+.PHONY: stretch
+stretch:
+	@mkdir -p $(STRETCHED) && cp $(KIT)/sites/wire.json $(STRETCHED)/
+	@for rule in $(RULES); do \
+		awk -v rule=$$rule -f deploy/stretch.awk $(FILE) >$(STRETCHED)/$$rule-$(SITE).toml; \
+		echo "== $$rule $(SITE)"; \
+		$(BENCH) hunt $(STRETCHED)/$$rule-$(SITE).toml --days $(DAYS) --jobs 4 --why "$(WHY): $$rule" | grep -E "BROKEN|no result|days" ; \
+	done
