--- a/converge/converge.go
+++ b/converge/converge.go
@@ -124,7 +124,7 @@
 	delete(c.steps, o.engine)
 	if !o.failed {
 		delete(c.failures, o.engine)
-		c.pace.took(o.drain, o.load)
+		c.learn(o)
 		return
 	}
 	n := c.failures[o.engine].count
@@ -132,6 +132,16 @@
 	c.failures[o.engine] = failure{n + 1, time.Now().Add(pause)}
 }
 
+// learn takes the times of a change.
+func (c *Controller) learn(o outcome) {
+	before := c.pace.loads
+	c.pace.took(o.drain, o.load)
+	if c.pace.loads != before {
+		c.Log.Info("loads at once changed", zap.Int("from", before), zap.Int("to", c.pace.loads),
+			zap.Duration("load", o.load), zap.Duration("shortest", c.pace.shortest))
+	}
+}
+
 // look starts steps for the engines that lag behind.
 func (c *Controller) look(ctx context.Context) {
 	fence, held := c.Lease.Fence()
