--- a/converge/converge.go
+++ b/converge/converge.go
@@ -26,6 +26,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -150,6 +151,7 @@
 	}
 	if fence != c.fence {
 		c.fence, c.slept = fence, c.Suspended()
+		clear(c.failures)
 	}
 	if c.Suspended()-c.slept > suspendSlack { // C6
 		c.Log.Warn("lease abandoned after a suspension", zap.Uint64("fence", fence))
@@ -227,12 +229,15 @@
 // they are (C2, C7).
 func (c *Controller) behind(r *hbs.Roster) (lag []*hbs.Endpoint) {
 	now := time.Now()
+	listed := map[hbs.EndpointID]bool{}
 	for i := range r.Endpoints {
 		e := &r.Endpoints[i]
+		listed[e.ID] = true
 		if c.lags(e) && !c.steps[e.ID] && !now.Before(c.failures[e.ID].until) {
 			lag = append(lag, e)
 		}
 	}
+	maps.DeleteFunc(c.failures, func(id hbs.EndpointID, _ failure) bool { return !listed[id] })
 	slices.SortStableFunc(lag, func(a, b *hbs.Endpoint) int {
 		return cmp.Or(cmp.Compare(c.failures[a.ID].count, c.failures[b.ID].count), cmp.Compare(number(a), number(b)))
 	})
