presence, gateway: retries at once are an instance's part of what the deployment bears

Cause: each instance kept four retries by itself, whatever their number. With more than 13 instances their sum exceeds the slack of today's deployments (54), at 61 that of the grown ones (162).

Ruled out: a smaller fixed number (one is too few for seven instances: it is what a service of few requests a second has after a failure); parts handed out under the lease, which stop with the store.

Change: instances are counted by an entry each in the store, written once a minute; the burst is half of the slack by their number.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -32,6 +32,7 @@
 	"github.com/hornbeamstage/hornbeamstage/network"
 	"github.com/hornbeamstage/hornbeamstage/placement"
 	"github.com/hornbeamstage/hornbeamstage/platform"
+	"github.com/hornbeamstage/hornbeamstage/presence"
 	"github.com/hornbeamstage/hornbeamstage/retry"
 	"github.com/hornbeamstage/hornbeamstage/roster"
 )
@@ -54,8 +55,10 @@
 	// retryShare is the part of the deployment's retries that are planned with.
 	// The rest is for what instances can't know of each other.
 	retryShare = 0.75
-	// retryBurst is how many retries an instance may make at once.
-	retryBurst = 4
+	// burstShare is the part of the deployment's retries beyond the ratio that the
+	// instances together may make at once. The rest is for those that start and are
+	// not counted yet.
+	burstShare = 0.5
 	// tries bounds the attempts of a request, those included that sent nothing. The
 	// route bounds those that are sent.
 	tries = 5
@@ -104,6 +107,7 @@
 	directory  *roster.Directory
 	table      *tables
 	versions   *versions
+	presence   *presence.Counter
 	dispatcher *dispatch.Dispatcher
 	fleet      *placement.Fleet
 	lease      *lease.Keeper
@@ -162,7 +166,7 @@
 		With(hedge.KnobOn, 0).
 		With(attempt.KnobConnectTimeout, connectTimeout.Seconds()).
 		With(retry.KnobShare, retryShare*b.Bounds.RetryRatio).
-		With(retry.KnobBurst, retryBurst).
+		WithMoving(retry.KnobBurst, g.retryBurst).
 		With(retry.KnobAttempts, tries).
 		With(lease.KnobDuration, leaseTime.Seconds()).
 		With(lease.KnobRenew, leaseRenew.Seconds()).
@@ -177,6 +181,7 @@
 		ReadsPerSecond: rateShare * b.ReadsPerSecond, WritesPerSecond: rateShare * b.WritesPerSecond,
 		Policy: g.policy, Metrics: g.Metrics,
 	}
+	g.presence = &presence.Counter{Platform: g.store, Self: self.ID, Log: g.Log.Named("presence")}
 	g.versions = &versions{Converge: b.Bounds.ConvergeTime}
 	g.directory = &roster.Directory{Self: self, ReturnTime: returnTime, ChangeTime: converge.Patience, TooOld: g.versions.tooOld, Lagging: g.lagging}
 	g.table = &tables{Suspended: g.Suspended}
@@ -254,12 +259,27 @@
 		g.follower(platform.KindServers, &serverFeed{g}).Run,
 		g.follower(platform.KindVersions, g.versionFeed()).Run,
 		g.lease.Run,
+		g.presence.Run,
 		g.controller.Run,
 		(&cacheFeed{Gateway: g}).Run,
 		g.expire,
 	}
 }
 
+// retryBurst returns how many retries this instance may make at once.
+func (g *Gateway) retryBurst() float64 {
+	return burstOf(g.Boot.Bounds.RetrySlack, g.presence.Count())
+}
+
+// burstOf returns the part of one of n instances in what the deployment bears at
+// once, and one where that is less or n is not known.
+func burstOf(slack float64, n int) float64 {
+	if n == 0 {
+		return 1
+	}
+	return max(1, burstShare*slack/float64(n))
+}
+
 func (g *Gateway) follower(kind hbs.ObjectKind, feed feed) *follower {
 	return &follower{platform: g.store, kind: kind, feed: feed, log: g.Log.Named("store")}
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -166,7 +166,7 @@
 			Store: at(hostStore, 80), Form: platform.FormObjects, ReadsPerSecond: 2000, WritesPerSecond: 400,
 			Bounds: platform.Bounds{
 				Grace: grace, ConfigTime: 2 * time.Second, Revoke: revoke, StrictRevoke: true,
-				RetryRatio: 0.2, LeaseTime: 3 * time.Second, ConvergeTime: converge,
+				RetryRatio: 0.2, RetrySlack: 54, LeaseTime: 3 * time.Second, ConvergeTime: converge,
 			},
 		},
 		Network: f.fabric.Network(domain), Log: f.log, Metrics: metrics.NewRegistry(),
