--- a/deploy/stretch.awk
+++ b/deploy/stretch.awk
@@ -9,7 +9,8 @@
 #   many_small       two and a half times the instances, each with 60 % of the
 #                    processor time and half of the memory
 #   one_domain       everything in the first failure domain; one instance may fail
-#   slow_weights     one engine at a time loads new weights at full speed
+#   slow_weights     one engine at a time loads new weights at full speed, in twice
+#                    the time allowed
 #   quick_weights    as many as there are load at full speed
 #   slow_links       engines load prefixes from each other at a tenth of the rate
 
@@ -25,7 +26,7 @@
 
 # number prints n as whole or with a fraction, as old was.
 function number(n, old) {
-	if (index(old, ".")) return sprintf("%.4g", n) (n == int(n) ? ".0" : "")
+	if (index(old, ".")) return sprintf("%.10g", n) (n == int(n) ? ".0" : "")
 	return sprintf("%d", n < 1 ? 1 : n + 0.5)
 }
 
@@ -57,7 +58,10 @@
 	}
 }
 
-rule == "slow_weights" && /^at_once = / { $0 = "at_once = 1" }
+rule == "slow_weights" {
+	if (/^at_once = /) $0 = "at_once = 1"
+	$0 = scaled(scaled($0, "version_ms", 2), "version_all_ms", 2)
+}
 rule == "quick_weights" && /^at_once = / { $0 = "at_once = 1000" }
 
 rule == "slow_links" && /model = "llm"/ { $0 = scaled($0, "link_mbps", 0.1) }
