One copy of reading a body, awaiting a change, growing pauses and counting engines

The gateway read bodies as entry does, converge waited for a change of the roster as entry waits for its configuration, and doubled pauses as placement does; converge counted engines and asked for lagging ones twice. caller.Sink reads bodies, delay.Until awaits a change, delay.Doubled computes pauses, and converge has count and lags.

--- a/caller/sink.go
+++ b/caller/sink.go
@@ -1,9 +1,13 @@
 package caller
 
 import (
+	"fmt"
+	"io"
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	hbs "github.com/hornbeamstage/hornbeamstage"
 )
 
@@ -75,6 +79,23 @@
 	return s.LastWrite.Sub(s.FirstWrite) / time.Duration(s.Writes-1)
 }
 
+// ReadBody reads the request's body, at most limit bytes within wait. Its error is
+// a *hornbeamstage.Refusal. The read deadline stays set.
+func (s *Sink) ReadBody(body io.ReadCloser, wait time.Duration, limit int64) ([]byte, error) {
+	if err := s.SetReadDeadline(time.Now().Add(wait)); err != nil {
+		return nil, hbs.BadRequest(errors.Wrap(err, "set read deadline"))
+	}
+	data, err := io.ReadAll(http.MaxBytesReader(nil, body, limit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, hbs.NotRun(hbs.ReasonTooLarge, fmt.Sprintf("more than %d bytes", tooLarge.Limit), 0)
+	}
+	if err != nil {
+		return nil, hbs.BadRequest(errors.Wrap(err, "read body"))
+	}
+	return data, nil
+}
+
 // SetReadDeadline bounds the time to read the request; the zero time lifts it.
 func (s *Sink) SetReadDeadline(t time.Time) error { return s.c.SetReadDeadline(t) }
 
--- a/converge/converge.go
+++ b/converge/converge.go
@@ -36,6 +36,7 @@
 	"go.uber.org/zap"
 
 	hbs "github.com/hornbeamstage/hornbeamstage"
+	"github.com/hornbeamstage/hornbeamstage/delay"
 	"github.com/hornbeamstage/hornbeamstage/lease"
 	"github.com/hornbeamstage/hornbeamstage/platform"
 )
@@ -129,8 +130,7 @@
 		return
 	}
 	n := c.failures[o.engine].count
-	pause := min(failPause<<min(n, 10), failPauseMax)
-	c.failures[o.engine] = failure{n + 1, time.Now().Add(pause)}
+	c.failures[o.engine] = failure{n + 1, time.Now().Add(delay.Doubled(failPause, failPauseMax, n))}
 }
 
 // learn takes the times of a change.
@@ -177,14 +177,9 @@
 func (c *Controller) room(r *hbs.Roster) (of map[hbs.ModelName]int, all int) {
 	of = map[hbs.ModelName]int{}
 	engines := 0
-	for i := range r.Endpoints {
-		if e := &r.Endpoints[i]; stays(e) {
-			of[e.Model]++
-			engines++
-		}
-	}
-	for m, n := range of {
+	for m, n := range count(r.Endpoints) {
 		of[m] = share(n)
+		engines += n
 	}
 	for i := range r.Endpoints {
 		if e := &r.Endpoints[i]; c.steps[e.ID] {
@@ -199,17 +194,12 @@
 // are not live.
 func Lagging(es []hbs.Endpoint, wanted func(hbs.ModelName) int64) map[hbs.EndpointID]hbs.Rollout {
 	var lag []*hbs.Endpoint
-	engines := map[hbs.ModelName]int{}
 	for i := range es {
-		e := &es[i]
-		if !stays(e) {
-			continue
-		}
-		engines[e.Model]++
-		if e.State == hbs.StateLive && number(e) < wanted(e.Model) {
+		if e := &es[i]; e.State == hbs.StateLive && lags(e, wanted) {
 			lag = append(lag, e)
 		}
 	}
+	engines := count(es)
 	slices.SortStableFunc(lag, func(a, b *hbs.Endpoint) int { return cmp.Compare(number(a), number(b)) })
 	rollout, taken := map[hbs.EndpointID]hbs.Rollout{}, map[hbs.ModelName]int{}
 	for _, e := range lag {
@@ -222,6 +212,17 @@
 	return rollout
 }
 
+// count returns how many engines of each model stay.
+func count(es []hbs.Endpoint) map[hbs.ModelName]int {
+	n := map[hbs.ModelName]int{}
+	for i := range es {
+		if e := &es[i]; stays(e) {
+			n[e.Model]++
+		}
+	}
+	return n
+}
+
 // share returns how many of n engines may change at once.
 func share(n int) int { return int(math.Ceil(changeShare * float64(n))) }
 
@@ -233,7 +234,7 @@
 	for i := range r.Endpoints {
 		e := &r.Endpoints[i]
 		listed[e.ID] = true
-		if c.lags(e) && !c.steps[e.ID] && !now.Before(c.failures[e.ID].until) {
+		if lags(e, c.Wanted) && !c.steps[e.ID] && !now.Before(c.failures[e.ID].until) {
 			lag = append(lag, e)
 		}
 	}
@@ -248,8 +249,8 @@
 func stays(e *hbs.Endpoint) bool { return e.Kind == hbs.KindEngine && e.State != hbs.StateLeaving }
 
 // lags reports whether e has older weights than wanted.
-func (c *Controller) lags(e *hbs.Endpoint) bool {
-	return stays(e) && number(e) < c.Wanted(e.Model)
+func lags(e *hbs.Endpoint, wanted func(hbs.ModelName) int64) bool {
+	return stays(e) && number(e) < wanted(e.Model)
 }
 
 // number is the version of an engine's weights, as large as can be if its record
--- a/converge/step.go
+++ b/converge/step.go
@@ -49,11 +49,10 @@
 // run gives one order and follows it until the engine has other weights, gives
 // up or is gone, or the lease is lost.
 func (s *step) run(ctx context.Context) outcome {
-	failed := outcome{engine: s.engine.ID, failed: true}
 	version, err := s.try(ctx)
 	if err != nil {
 		s.Log.Warn("weights not ordered", zap.String("endpoint", string(s.engine.ID)), zap.Uint64("fence", s.fence), zap.Error(err))
-		return failed
+		return outcome{engine: s.engine.ID, failed: true}
 	}
 	return s.follow(ctx, version)
 }
@@ -153,21 +152,10 @@
 	if !drained.IsZero() {
 		wait = loadEvery
 	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	for {
-		changed := s.Directory.Changed()
-		if e := s.record(); e != nil && e.Weights != s.engine.Weights {
-			return true
-		}
-		select {
-		case <-changed:
-		case <-timer.C:
-			return false
-		case <-ctx.Done():
-			return false
-		}
-	}
+	return delay.Until(ctx, wait, s.Directory.Changed, func() bool {
+		e := s.record()
+		return e != nil && e.Weights != s.engine.Weights
+	})
 }
 
 // loaded returns the outcome of an engine that has other weights.
--- a/delay/delay.go
+++ b/delay/delay.go
@@ -1,4 +1,5 @@
-// Package delay waits for a time that a context can cut short.
+// Package delay waits for a time that a context can cut short, and computes such
+// times.
 package delay
 
 import (
@@ -24,3 +25,34 @@
 		return ctx.Err()
 	}
 }
+
+// Until waits until done holds, for at most d, and reports whether it does. It
+// asks at once and after each change; changed returns a channel that the next
+// change closes.
+func Until(ctx context.Context, d time.Duration, changed func() <-chan struct{}, done func() bool) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	for {
+		// Asked for before done, so that no change in between is missed.
+		next := changed()
+		if done() {
+			return true
+		}
+		select {
+		case <-next:
+		case <-t.C:
+			return false
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// maxDoublings keeps a doubled pause from overflowing.
+const maxDoublings = 16
+
+// Doubled returns the pause after so many failures beyond the first: the first
+// one doubled that many times, up to last.
+func Doubled(first, last time.Duration, more int) time.Duration {
+	return min(first<<min(more, maxDoublings), last)
+}
--- a/delay/delay_test.go
+++ b/delay/delay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -27,3 +28,58 @@
 		g.Expect(time.Since(start)).To(Equal(time.Second))
 	})
 }
+
+// counter is a number whose changes can be awaited.
+type counter struct {
+	mu      sync.Mutex
+	n       int
+	changes chan struct{}
+}
+
+func (c *counter) add() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.n++
+	close(c.changes)
+	c.changes = make(chan struct{})
+}
+
+func (c *counter) changed() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.changes
+}
+
+func (c *counter) isTwo() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.n == 2
+}
+
+func TestUntil(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		start, c := time.Now(), &counter{changes: make(chan struct{})}
+		g.Expect(delay.Until(t.Context(), time.Second, c.changed, c.isTwo)).To(BeFalse())
+		g.Expect(time.Since(start)).To(Equal(time.Second))
+		go func() {
+			for range 2 {
+				time.Sleep(time.Second)
+				c.add()
+			}
+		}()
+		g.Expect(delay.Until(t.Context(), time.Minute, c.changed, c.isTwo)).To(BeTrue())
+		g.Expect(time.Since(start)).To(Equal(3 * time.Second))
+		ended, cancel := context.WithCancel(t.Context())
+		cancel()
+		g.Expect(delay.Until(ended, time.Minute, c.changed, func() bool { return false })).To(BeFalse())
+	})
+}
+
+func TestDoubled(t *testing.T) {
+	g := NewWithT(t)
+	for more, want := range []time.Duration{time.Second, 2 * time.Second, 4 * time.Second, 5 * time.Second} {
+		g.Expect(delay.Doubled(time.Second, 5*time.Second, more)).To(Equal(want))
+	}
+	g.Expect(delay.Doubled(time.Second, time.Minute, 1000)).To(Equal(time.Minute))
+}
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -3,12 +3,9 @@
 import (
 	"context"
 	"crypto/rand"
-	"fmt"
-	"io"
 	"net/http"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/julienschmidt/httprouter"
 	"go.uber.org/zap"
 
@@ -98,20 +95,10 @@
 	return err
 }
 
-func (x *exchange) readBody() error {
-	if err := x.sink.SetReadDeadline(time.Now().Add(x.h.BodyWait)); err != nil {
-		return hbs.BadRequest(errors.Wrap(err, "set read deadline"))
+func (x *exchange) readBody() (err error) {
+	if x.req.Body, err = x.sink.ReadBody(x.r.Body, x.h.BodyWait, x.h.MaxBodyBytes); err != nil {
+		return err
 	}
-	body := http.MaxBytesReader(nil, x.r.Body, x.h.MaxBodyBytes)
-	data, err := io.ReadAll(body)
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return hbs.NotRun(hbs.ReasonTooLarge, fmt.Sprintf("more than %d bytes", tooLarge.Limit), 0)
-	}
-	if err != nil {
-		return hbs.BadRequest(errors.Wrap(err, "read body"))
-	}
-	x.req.Body = data
 	// The server watches for the caller's leaving only without a deadline.
 	return x.sink.SetReadDeadline(time.Time{})
 }
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -14,6 +14,7 @@
 	"github.com/hornbeamstage/hornbeamstage/caller"
 	"github.com/hornbeamstage/hornbeamstage/claim"
 	"github.com/hornbeamstage/hornbeamstage/config"
+	"github.com/hornbeamstage/hornbeamstage/delay"
 	"github.com/hornbeamstage/hornbeamstage/dispatch"
 	"github.com/hornbeamstage/hornbeamstage/prompt"
 )
@@ -84,21 +85,7 @@
 // configured waits until there is a configuration. Without one every key would
 // look unknown.
 func (h *Handler) configured(ctx context.Context) bool {
-	timer := time.NewTimer(startWait)
-	defer timer.Stop()
-	for {
-		changed := h.Config.Changed()
-		if len(h.Config.Config().Workspaces) > 0 {
-			return true
-		}
-		select {
-		case <-changed:
-		case <-timer.C:
-			return false
-		case <-ctx.Done():
-			return false
-		}
-	}
+	return delay.Until(ctx, startWait, h.Config.Changed, func() bool { return len(h.Config.Config().Workspaces) > 0 })
 }
 
 func (h *Handler) count(name string) {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -98,27 +96,18 @@
 	return nil
 }
 
-func (x *exchange) readBody() error {
+func (x *exchange) readBody() (err error) {
 	wait := bodyWait
 	if x.terms.Deadline > 0 {
 		wait = x.terms.Deadline
 	}
-	if err := x.sink.SetReadDeadline(time.Now().Add(wait)); err != nil {
-		return hbs.BadRequest(errors.Wrap(err, "set read deadline"))
-	}
 	limit := x.table.Limits.BodyBytes
 	if limit <= 0 {
 		limit = maxBodyBytes
 	}
-	data, err := io.ReadAll(http.MaxBytesReader(nil, x.r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return hbs.NotRun(hbs.ReasonTooLarge, fmt.Sprintf("more than %d bytes", tooLarge.Limit), 0)
-	}
-	if err != nil {
-		return hbs.BadRequest(errors.Wrap(err, "read body"))
+	if x.req.Body, err = x.sink.ReadBody(x.r.Body, wait, limit); err != nil {
+		return err
 	}
-	x.req.Body = data
 	// The server watches for the caller's leaving only without a deadline.
 	if err := x.sink.SetReadDeadline(time.Time{}); err != nil {
 		return hbs.BadRequest(errors.Wrap(err, "lift read deadline"))
--- a/placement/member.go
+++ b/placement/member.go
@@ -7,6 +7,7 @@
 
 	hbs "github.com/hornbeamstage/hornbeamstage"
 	"github.com/hornbeamstage/hornbeamstage/belief"
+	"github.com/hornbeamstage/hornbeamstage/delay"
 	"github.com/hornbeamstage/hornbeamstage/load"
 	"github.com/hornbeamstage/hornbeamstage/straggler"
 )
@@ -119,7 +120,7 @@
 // unreached tells that no connection could be made.
 func (m *member) unreached(now time.Time) {
 	m.failures++
-	m.paused = now.Add(min(maxPause, minPause<<min(m.failures-1, 8)))
+	m.paused = now.Add(delay.Doubled(minPause, maxPause, m.failures-1))
 	d := m.domain
 	if d.lastUnreached != nil && d.lastUnreached != m && now.Sub(d.unreachedAt) < cutWindow {
 		d.paused = now.Add(cutPause)
@@ -131,7 +132,7 @@
 func (m *member) broke(now time.Time) {
 	m.failures++
 	if m.failures >= brokenLimit {
-		m.paused = now.Add(min(maxPause, minPause<<min(m.failures-brokenLimit, 8)))
+		m.paused = now.Add(delay.Doubled(minPause, maxPause, m.failures-brokenLimit))
 	}
 }
 
