lease: the spec of stops at random starts stopped instances also while none holds

The spec read which instances had stopped only after it had seen a holder. Once all three were down nobody held the lease and none was started again, so the rest of those ten minutes proved nothing. Change: stopped instances are started at each look. The bound comes from the longest term a stop can make (stops lie 100 looks apart in the mean, and a lease lapses within 17.5 s): 266 in place of 100.

--- a/lease/release_test.go
+++ b/lease/release_test.go
@@ -23,6 +23,8 @@
 	look = 3*time.Second + sample
 	// lapse is the longest time from a holder's last renewal to the next holder.
 	lapse = 17500 * time.Millisecond
+	// stopEvery is how many looks at a holder lie between two stops, in the mean.
+	stopEvery = 100
 )
 
 // settled waits for the first holder.
@@ -188,16 +190,18 @@
 	})
 
 	DescribeTable("never leaves an order of the last holder valid under faults and stops at random (L1 to L7)", func(seed uint64) {
+		const runs, span = 10, 10 * time.Minute
 		terms := 0
-		for i := range uint64(10) {
+		for i := range uint64(runs) {
 			inDomain(seed*1000+i, 0.3, func(g Gomega, d *domain) {
-				n, broken := d.stops(10 * time.Minute)
+				n, broken := d.stops(span)
 				g.Expect(broken).To(BeEmpty(), "seed %d", seed*1000+i)
 				terms += n
 			})
 		}
-		Expect(terms).To(BeNumerically(">", 100), "stops hand the lease over")
-		AddReportEntry(fmt.Sprintf("%d terms in 100 minutes", terms))
+		const longestTerm = stopEvery*sample + lapse
+		Expect(terms).To(BeNumerically(">", int(runs*span/longestTerm)), "stops hand the lease over")
+		AddReportEntry(fmt.Sprintf("%d terms in %v", terms, runs*span))
 	},
 		Entry("seed 1", uint64(1)),
 		Entry("seed 2", uint64(2)),
@@ -206,7 +210,8 @@
 })
 
 // stops stops holders at random while they give orders, half of which get no
-// answer, and starts them again.
+// answer, and starts them again, also while nobody holds the lease: each may be
+// stopped before another has taken it.
 func (d *domain) stops(span time.Duration) (terms int, broken string) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -215,6 +220,7 @@
 	var valid time.Time
 	var last uint64
 	for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(sample) {
+		d.restartStopped(ctx, stopped, stopping)
 		at, fence, n := d.holder()
 		switch {
 		case n > 1:
@@ -235,7 +241,7 @@
 				valid = time.Now().Add(orderLifetime)
 			}
 		}
-		if !stopping[at] && d.draw(100) == 1 {
+		if !stopping[at] && d.draw(stopEvery) == 1 {
 			stopping[at] = true
 			k := d.keepers[at]
 			d.wg.Go(func() {
@@ -243,12 +249,19 @@
 				stopped <- at
 			})
 		}
+	}
+	return terms, ""
+}
+
+// restartStopped gives new lives to the instances that have stopped.
+func (d *domain) restartStopped(ctx context.Context, stopped <-chan int, stopping map[int]bool) {
+	for {
 		select {
 		case i := <-stopped:
 			stopping[i] = false
 			d.restart(ctx, i)
 		default:
+			return
 		}
 	}
-	return terms, ""
 }
