router: the spec of connections given up waits for their count

An answer 408 is counted after it is written, and the spec looked between the two. Change: the spec waits until all goroutines of the bubble are blocked. Shown with a pause between write and count: before it fails, after it passes.

--- a/router/headerwait_test.go
+++ b/router/headerwait_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -42,6 +43,7 @@
 		body, err := io.ReadAll(res.Body)
 		f.g.Expect(err).NotTo(HaveOccurred())
 		f.g.Expect(string(body)).To(ContainSubstring("header_timeout"))
+		synctest.Wait() // the answer is counted after it is written
 		f.g.Expect(f.routers[0].Metrics.Get("entry_reason_header_timeout")).To(HaveField("Count()", int64(1)))
 	}
 	dial := func(f *fleet) net.Conn {
