peer: nodes of a spec have files of their own for their keys

Cause: in "another's id" both nodes' keys lay in files named after the id, so the second node's were written while the first, already running, read them. With the fixture telling what ended: "tls: failed to find any PEM data", "private key does not match public key". Ruled out: other specs write their files before their nodes run or while no handshake is due. Change: files are named for the node. The fixture fails a spec when a part of a node ends though nothing ended it; it dropped that error before.

--- a/peer/fleet_test.go
+++ b/peer/fleet_test.go
@@ -5,8 +5,11 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
 	"github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/conc"
@@ -41,6 +44,7 @@
 	server    *peer.Server
 	metrics   metrics.Registry
 	stop      context.CancelFunc
+	killed    atomic.Bool
 }
 
 // fleet runs nodes, the platform and their network in one bubble.
@@ -67,6 +71,10 @@
 	log    *zap.Logger
 	wg     conc.WaitGroup
 	cancel context.CancelFunc
+
+	mu sync.Mutex
+	// ended are the parts of nodes that ended by themselves.
+	ended []error
 }
 
 func newFleet(g *WithT) *fleet {
@@ -77,6 +85,16 @@
 	return f
 }
 
+// note keeps that a part of n ended though nothing had ended n.
+func (f *fleet) note(ctx context.Context, n *node, err error) {
+	if ctx.Err() != nil || n.killed.Load() {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ended = append(f.ended, errors.Wrapf(err, "%s", n.id))
+}
+
 // close ends all that runs, so that the bubble can end. Cuts are healed first:
 // a connection across one would never learn that its other end closed.
 func (f *fleet) close() {
@@ -90,6 +108,7 @@
 	f.wg.Wait()
 	// net/http lets a connection attempt run on when its request was given up.
 	time.Sleep(network.DialTimeout)
+	f.g.Expect(f.ended).To(BeEmpty(), "a part of a node ended by itself")
 }
 
 func peerAddress(i int) netip.AddrPort {
@@ -137,7 +156,7 @@
 	watcher := &mirror.Watcher{Platform: client, Set: n.objects, Policy: f.policy, Metrics: registry, Log: zap.NewNop(),
 		Chosen: n.server.Chosen, Spread: n.server.Spread}
 	for _, run := range []func(context.Context) error{client.Run, n.config.Run, n.directory.Run, n.server.Run, watcher.Run} {
-		f.wg.Go(func() { _ = run(ctx) })
+		f.wg.Go(func() { f.note(ctx, n, run(ctx)) })
 	}
 	f.nodes = append(f.nodes, n)
 	return n
@@ -171,6 +190,7 @@
 
 // kill ends n as a crash does.
 func (f *fleet) kill(n *node) {
+	n.killed.Store(true)
 	n.host.Kill()
 	n.stop()
 }
--- a/peer/tls_test.go
+++ b/peer/tls_test.go
@@ -56,9 +56,9 @@
 	return &signer{a, dir}
 }
 
-// files returns the keys of instance id with a new certificate of a.
-func (a *signer) files(id hbs.InstanceID, alter func(*x509.Certificate)) *peer.TLS {
-	name := string(id)
+// files returns the keys of instance id with a new certificate of a, in files of
+// that name. Each node needs a name of its own: one that runs reads its files.
+func (a *signer) files(name string, id hbs.InstanceID, alter func(*x509.Certificate)) *peer.TLS {
 	a.sign(name, alter)
 	return &peer.TLS{Instance: id, TrustDomain: trustDomain, Certificate: a.File(name), Key: a.File(name + "-key"), Authority: a.File(authority.Name)}
 }
@@ -121,14 +121,14 @@
 		a, b := newSigner(), newSigner()
 		inBubble(func(f *fleet) {
 			f.seeds = append(f.seeds, peerAddress(1))
-			f.keys = func(int) *peer.TLS { return a.files("i-00", named("i-00")) }
+			f.keys = func(int) *peer.TLS { return a.files("i-00", "i-00", named("i-00")) }
 			n := f.start("a")
 			time.Sleep(time.Second)
 			by := b
 			if ours {
 				by = a
 			}
-			holder := by.files("holder", alter)
+			holder := by.files("holder", "holder", alter)
 			err := f.calls(holder, 0)
 			f.g.Expect(err == nil).To(Equal(good), "%v", err)
 			f.g.Expect(f.called(holder, 1) > 0).To(Equal(good))
@@ -156,9 +156,9 @@
 			f.seeds = append(f.seeds, peerAddress(0), peerAddress(1))
 			f.keys = func(i int) *peer.TLS {
 				if i == 1 {
-					return a.files(id, named(id))
+					return a.files("wrong", id, named(id))
 				}
-				return a.files("i-00", named("i-00"))
+				return a.files("right", "i-00", named("i-00"))
 			}
 			f.start("a")
 			f.start("a")
@@ -173,7 +173,7 @@
 			}
 			f.g.Expect(logs.FilterMessage("peer refuses this instance's certificate").Len()).To(BeNumerically("<=", 2))
 			// The next certificate is right.
-			a.sign(string(id), named(id, "i-01"))
+			a.sign("wrong", named(id, "i-01"))
 			f.within(5*time.Second, "joined", func() bool {
 				return len(f.nodes[0].server.Alive()) == 2 && len(f.nodes[1].server.Alive()) == 2
 			})
@@ -183,7 +183,7 @@
 	It("let an instance ask as itself alone (rule 7)", func() {
 		a := newSigner()
 		inBubble(func(f *fleet) {
-			f.keys = func(int) *peer.TLS { return a.files("i-00", named("i-00")) }
+			f.keys = func(int) *peer.TLS { return a.files("i-00", "i-00", named("i-00")) }
 			n := f.start("a")
 			var asked []hbs.InstanceID
 			n.server.Answer = func(from hbs.InstanceID, data []byte) ([]byte, error) {
@@ -191,7 +191,7 @@
 				return data, nil
 			}
 			time.Sleep(time.Second)
-			holder := a.files("holder", named("holder"))
+			holder := a.files("holder", "holder", named("holder"))
 			for _, from := range []hbs.InstanceID{"i-05", "", "holder"} {
 				var answer peer.Answer
 				err := f.invoke(holder, 0, "Ask", &peer.Ask{From: from, Data: []byte("x")}, &answer)
@@ -208,7 +208,7 @@
 			f.log = zap.New(core)
 			f.seeds = append(f.seeds, peerAddress(0), peerAddress(1))
 			ids := []hbs.InstanceID{"i-00", "i-01"}
-			f.keys = func(i int) *peer.TLS { return a.files(ids[i], named(ids[i])) }
+			f.keys = func(i int) *peer.TLS { return a.files(string(ids[i]), ids[i], named(ids[i])) }
 			f.start("a")
 			f.start("a")
 			joined := func() bool { return len(f.nodes[0].server.Alive()) == 2 && len(f.nodes[1].server.Alive()) == 2 }
@@ -238,9 +238,9 @@
 			ids := []hbs.InstanceID{"i-00", "i-01", "i-02"}
 			f.keys = func(i int) *peer.TLS {
 				if i == 2 {
-					return theirs.files(ids[i], named(ids[i]))
+					return theirs.files(string(ids[i]), ids[i], named(ids[i]))
 				}
-				return ours.files(ids[i], named(ids[i]))
+				return ours.files(string(ids[i]), ids[i], named(ids[i]))
 			}
 			for range 3 {
 				f.start("a")
@@ -257,7 +257,7 @@
 
 	It("that name another instance end a start", func() {
 		a := newSigner()
-		keys := a.files("i-00", named("i-01"))
+		keys := a.files("i-00", "i-00", named("i-01"))
 		Expect(keys.Check()).To(MatchError(ContainSubstring("certificate names i-01, not i-00; a URI such as spiffe://fleet.example/instance/ID has to be")))
 	})
 
