gateway, network, object, platform: one copy of what stood twice

The bounds of a listener are one argument of network.NewServer, the lifted read deadline belongs to caller.Sink.ReadBody (a failure is a bad request for both listeners now; it was an internal error in one of them, and means that the caller left), object.Writer reads in one place, and the status of an endpoint is encoded beside its decoder. A status that can't be read was taken for none without a word; it leaves a log line now.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -22,8 +22,9 @@
 //     waiting over the flow's fair share of the rate, so that a workspace under
 //     its share is not refused for another one's backlog.
 //  7. A request is refused at the moment at which its deadline can no longer be
-//     met, or the first event comes too late for the caller, and on placement when the prediction of the chosen endpoint says so, unless
-//     its workspace is light (rule 10).
+//     met, or the first event comes too late for the caller, and on placement when
+//     the prediction of the chosen endpoint says so, unless its workspace is light
+//     (rule 10).
 //     It never waits longer for its refusal.
 //  8. A full queue pushes out the last request of the flow that waits with the
 //     most work for its weight.
--- a/caller/sink.go
+++ b/caller/sink.go
@@ -80,9 +80,9 @@
 }
 
 // ReadBody reads the request's body, at most limit bytes within wait. Its error is
-// a *hornbeamstage.Refusal. The read deadline stays set.
+// a *hornbeamstage.Refusal.
 func (s *Sink) ReadBody(body io.ReadCloser, wait time.Duration, limit int64) ([]byte, error) {
-	if err := s.SetReadDeadline(time.Now().Add(wait)); err != nil {
+	if err := s.c.SetReadDeadline(time.Now().Add(wait)); err != nil {
 		return nil, hbs.BadRequest(errors.Wrap(err, "set read deadline"))
 	}
 	data, err := io.ReadAll(http.MaxBytesReader(nil, body, limit))
@@ -93,12 +93,13 @@
 	if err != nil {
 		return nil, hbs.BadRequest(errors.Wrap(err, "read body"))
 	}
+	// The server watches for the caller's leaving only without a deadline.
+	if err := s.c.SetReadDeadline(time.Time{}); err != nil {
+		return nil, hbs.BadRequest(errors.Wrap(err, "lift read deadline"))
+	}
 	return data, nil
 }
 
-// SetReadDeadline bounds the time to read the request; the zero time lifts it.
-func (s *Sink) SetReadDeadline(t time.Time) error { return s.c.SetReadDeadline(t) }
-
 func (s *Sink) extend() error {
 	return s.c.SetWriteDeadline(time.Now().Add(s.wait))
 }
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -96,11 +96,8 @@
 }
 
 func (x *exchange) readBody() (err error) {
-	if x.req.Body, err = x.sink.ReadBody(x.r.Body, x.h.BodyWait, x.h.MaxBodyBytes); err != nil {
-		return err
-	}
-	// The server watches for the caller's leaving only without a deadline.
-	return x.sink.SetReadDeadline(time.Time{})
+	x.req.Body, err = x.sink.ReadBody(x.r.Body, x.h.BodyWait, x.h.MaxBodyBytes)
+	return err
 }
 
 func (x *exchange) readTerms() error {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	hbs "github.com/hornbeamstage/hornbeamstage"
@@ -105,14 +104,8 @@
 	if limit <= 0 {
 		limit = maxBodyBytes
 	}
-	if x.req.Body, err = x.sink.ReadBody(x.r.Body, wait, limit); err != nil {
-		return err
-	}
-	// The server watches for the caller's leaving only without a deadline.
-	if err := x.sink.SetReadDeadline(time.Time{}); err != nil {
-		return hbs.BadRequest(errors.Wrap(err, "lift read deadline"))
-	}
-	return nil
+	x.req.Body, err = x.sink.ReadBody(x.r.Body, wait, limit)
+	return err
 }
 
 // fill completes the request.
--- a/gateway/feeds.go
+++ b/gateway/feeds.go
@@ -79,12 +79,16 @@
 
 // takeStatus takes what an instance says of an engine.
 func (f *serverFeed) takeStatus(obj *hbs.Object) {
-	target := platform.DecodeServerStatus(obj.Status).Target
+	status, err := platform.DecodeServerStatus(obj.Status)
+	if err != nil {
+		f.Log.Warn("status not taken", zap.String("endpoint", obj.Name), zap.Uint64("revision", uint64(obj.Revision)), zap.Error(err))
+		return
+	}
 	e, ok := f.directory.Endpoint(hbs.EndpointID(obj.Name))
-	if !ok || target == 0 {
+	if !ok || status.Target == 0 {
 		return
 	}
-	if have, err := platform.ParseWeights(e.Weights); err == nil && have < target {
+	if have, err := platform.ParseWeights(e.Weights); err == nil && have < status.Target {
 		f.directory.Changing(e.ID, e.Weights)
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -8,7 +8,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"net/http"
 	"runtime/debug"
@@ -220,7 +219,7 @@
 
 // tellChange tells all instances that an engine is being brought to a version.
 func (g *Gateway) tellChange(ctx context.Context, id hbs.EndpointID, version int64) error {
-	status, err := json.Marshal(platform.ServerStatus{Target: version})
+	status, err := platform.EncodeServerStatus(platform.ServerStatus{Target: version})
 	if err != nil {
 		return err
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -302,3 +302,16 @@
 		e.Fail(faults)
 	}
 }
+
+// cutFirst has the engine that runs the first request cut its stream after three
+// events, and calls then a little later.
+func (f *fleet) cutFirst(then func()) {
+	f.fail(f.engines, pool.Faults{Cut: 3})
+	f.wg.Go(func() {
+		for len(runs(f.engines)) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(5 * time.Millisecond)
+		then()
+	})
+}
--- a/gateway/serve_test.go
+++ b/gateway/serve_test.go
@@ -83,14 +83,7 @@
 	It("goes on with a broken stream at another endpoint, without a gap or a repeat", func() {
 		in(func(f *fleet) {
 			// Whichever engine is first cuts; the second attempt finds no fault.
-			f.fail(f.engines, pool.Faults{Cut: 3})
-			f.wg.Go(func() {
-				for len(runs(f.engines)) == 0 {
-					time.Sleep(time.Millisecond)
-				}
-				time.Sleep(5 * time.Millisecond)
-				f.fail(f.engines, pool.Faults{})
-			})
+			f.cutFirst(func() { f.fail(f.engines, pool.Faults{}) })
 			a := f.do(talk(0))
 			f.Expect(a.err).NotTo(HaveOccurred())
 			f.Expect(a.body).To(Equal(pieces()))
@@ -102,12 +95,7 @@
 
 	It("goes on after the last event though engines in between refuse", func() {
 		in(func(f *fleet) {
-			f.fail(f.engines, pool.Faults{Cut: 3})
-			f.wg.Go(func() {
-				for len(runs(f.engines)) == 0 {
-					time.Sleep(time.Millisecond)
-				}
-				time.Sleep(5 * time.Millisecond)
+			f.cutFirst(func() {
 				// Two of the three others refuse, so that one attempt in between does
 				// but for the luck of the draw.
 				shed := 0
--- a/network/server.go
+++ b/network/server.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
 )
 
 // Server is one HTTP listener.
@@ -14,17 +15,32 @@
 	// Name is for errors.
 	Name     string
 	Listener net.Listener
-	// HTTP is set up but for its handler before Run.
+	// HTTP may be completed before Run.
 	HTTP *http.Server
 
 	inflight *inflight
 }
 
+// Bounds limit what a connection may cost while no handler runs.
+type Bounds struct {
+	// HeaderWait is the time for a request's header, IdleWait that between two
+	// requests of a connection.
+	HeaderWait, IdleWait time.Duration
+	// HeaderBytes bounds a request's header.
+	HeaderBytes int
+}
+
 // NewServer returns a server that passes requests to h and knows which handlers
-// still run. The caller sets the bounds of its HTTP field.
-func NewServer(name string, l net.Listener, h http.Handler) *Server {
+// still run. What net/http has to say goes to log, under the server's name.
+func NewServer(name string, l net.Listener, h http.Handler, b Bounds, log *zap.Logger) *Server {
 	counted := &inflight{handler: h}
-	return &Server{Name: name, Listener: l, HTTP: &http.Server{Handler: counted}, inflight: counted}
+	return &Server{Name: name, Listener: l, inflight: counted, HTTP: &http.Server{
+		Handler:           counted,
+		ReadHeaderTimeout: b.HeaderWait,
+		IdleTimeout:       b.IdleWait,
+		MaxHeaderBytes:    b.HeaderBytes,
+		ErrorLog:          zap.NewStdLog(log.Named(name)),
+	}}
 }
 
 // Run serves until Drain or Close, or until ctx ends. It returns when the last
--- a/object/object.go
+++ b/object/object.go
@@ -115,12 +115,7 @@
 
 // Get reads one object, once.
 func (w *Writer) Get(ctx context.Context, kind hbs.ObjectKind, name string) (hbs.Object, error) {
-	count(w.Reads)
-	ctx, cancel := context.WithTimeout(ctx, w.CallTimeout)
-	defer cancel()
-	stored, err := w.Platform.Get(ctx, kind, name)
-	w.Health.observe(err)
-	return stored, err
+	return w.read(ctx, w.Platform.Get, kind, name)
 }
 
 // GetStale reads one object, once, as it may have been a while ago where that is
@@ -130,10 +125,15 @@
 	if !ok {
 		return w.Get(ctx, kind, name)
 	}
+	return w.read(ctx, stale.GetStale, kind, name)
+}
+
+// read calls get once.
+func (w *Writer) read(ctx context.Context, get func(context.Context, hbs.ObjectKind, string) (hbs.Object, error), kind hbs.ObjectKind, name string) (hbs.Object, error) {
 	count(w.Reads)
 	ctx, cancel := context.WithTimeout(ctx, w.CallTimeout)
 	defer cancel()
-	stored, err := stale.GetStale(ctx, kind, name)
+	stored, err := get(ctx, kind, name)
 	w.Health.observe(err)
 	return stored, err
 }
--- a/router/server.go
+++ b/router/server.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"go.uber.org/zap"
 
 	"github.com/hornbeamstage/hornbeamstage/entry"
 	"github.com/hornbeamstage/hornbeamstage/network"
@@ -51,12 +50,8 @@
 }
 
 func (r *Router) newServer(name string, l net.Listener, h http.Handler) *network.Server {
-	s := network.NewServer(name, l, h)
-	s.HTTP.ReadHeaderTimeout = time.Duration(r.Settings.Listen.HeaderWait)
-	s.HTTP.IdleTimeout = idleWait
-	s.HTTP.MaxHeaderBytes = maxHeaderBytes
-	s.HTTP.ErrorLog = zap.NewStdLog(r.Log.Named(name))
-	return s
+	bounds := network.Bounds{HeaderWait: time.Duration(r.Settings.Listen.HeaderWait), IdleWait: idleWait, HeaderBytes: maxHeaderBytes}
+	return network.NewServer(name, l, h, bounds, r.Log)
 }
 
 // run serves s with contexts that know the life of the instance.
