placement: the last gap of streams prices an engine for a moment

Engines' machines are short of processor time for 0.3 to 0.5 s now and then; a prompt that goes there then holds up every stream of the engine. Instances, which don't hear each other, saw neither that nor what the others had sent. The log showed no pauses; `attempt ended` has longest_pause now. Ruled out: loads of prefixes, preemptions, connections (docs/measurements). Change: forward tells each time between events; the last one of an endpoint, over the model's median, multiplies what computing there costs for 250 ms, and the delay of the streams beside it (rule 11).

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -75,6 +75,8 @@
 
 func (s *slots) Slowness(*hbs.Placement) float64 { return 1 }
 
+func (s *slots) Gap(*hbs.Placement, time.Duration) {}
+
 func (s *slots) Paced(*hbs.Placement, time.Duration) {}
 
 func (s *slots) Finish(p *hbs.Placement, _ hbs.AttemptResult) {
--- a/attempt/attempt.go
+++ b/attempt/attempt.go
@@ -73,6 +73,9 @@
 	// Paced is called while a stream runs, for each part of at least paceWindow
 	// with the shortest time between two of its events; may be nil.
 	Paced func(gap time.Duration)
+	// Gap is called with the time between each two events of a stream, where
+	// instances don't tell each other their load; may be nil.
+	Gap func(gap time.Duration)
 }
 
 // Held is an endpoint's own error answer that was not passed on yet.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -178,6 +178,7 @@
 			s.Placer.FirstToken(p, after, cached)
 		},
 		Paced: func(gap time.Duration) { s.Placer.Paced(p, gap) },
+		Gap:   func(gap time.Duration) { s.Placer.Gap(p, gap) },
 	}
 }
 
@@ -208,6 +209,7 @@
 		zap.Duration("predicted_wait", p.Wait), zap.Duration("predicted_first", p.FirstToken), zap.Int("priority", p.Priority),
 		zap.String("end", string(res.End)), zap.Int("status", res.Status),
 		zap.Duration("first", res.FirstToken), zap.Duration("took", res.Duration), zap.Int("tokens", res.OutputTokens),
+		zap.Duration("longest_pause", res.LongestPause),
 	}
 	if n := len(s.req.Levels); n > 1 {
 		// The last level is mostly the request's own.
--- a/dispatch/world_test.go
+++ b/dispatch/world_test.go
@@ -162,6 +162,8 @@
 	return max(1, p.slowness[at.Endpoint.ID])
 }
 
+func (p *listPlacer) Gap(*hbs.Placement, time.Duration) {}
+
 func (p *listPlacer) Paced(_ *hbs.Placement, gap time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/forward/events_test.go
+++ b/forward/events_test.go
@@ -5,12 +5,20 @@
 	"io"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/hornbeamstage/hornbeamstage/attempt"
 )
 
+// suite is the test that runs the specs, for bubbles.
+var suite *testing.T
+
 func TestForward(t *testing.T) {
+	suite = t
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "forward")
 }
@@ -46,6 +54,21 @@
 	Entry("without numbers", "data: a\n\ndata: b\n\n", int64(0), "data: a\n\ndata: b\n\n", int64(0), io.EOF),
 )
 
+var _ = It("tells each time between events, and the longest", func() {
+	synctest.Test(suite, func(t *testing.T) {
+		var gaps []time.Duration
+		r := &run{Call: &attempt.Call{Gap: func(gap time.Duration) { gaps = append(gaps, gap) }}}
+		for _, pause := range []time.Duration{20, 90, 30} {
+			r.gap()
+			time.Sleep(pause * time.Millisecond)
+		}
+		r.gap()
+		g := NewWithT(t)
+		g.Expect(gaps).To(Equal([]time.Duration{20 * time.Millisecond, 90 * time.Millisecond, 30 * time.Millisecond}))
+		g.Expect(r.result.LongestPause).To(Equal(90 * time.Millisecond))
+	})
+})
+
 func FuzzEvents(f *testing.F) {
 	f.Add("id: 1\ndata: a\n\n", int64(0))
 	f.Fuzz(func(t *testing.T, text string, last int64) {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -76,6 +76,8 @@
 	*attempt.Call
 
 	started time.Time
+	// arrived is when events of the stream came last.
+	arrived time.Time
 	result  attempt.Result
 }
 
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -30,6 +31,7 @@
 		batch, err := s.next()
 		if len(batch) > 0 {
 			r.firstToken()
+			r.gap()
 			if err := r.passEvents(res, batch); err != nil {
 				r.broken(ctx, err)
 				return
@@ -47,6 +49,20 @@
 	}
 }
 
+// gap takes an arrival of events.
+func (r *run) gap() {
+	now := time.Now()
+	last := r.arrived
+	r.arrived = now
+	if last.IsZero() {
+		return
+	}
+	r.result.LongestPause = max(r.result.LongestPause, now.Sub(last))
+	if r.Gap != nil {
+		r.Gap(now.Sub(last))
+	}
+}
+
 func (r *run) passEvents(res *http.Response, batch []byte) error {
 	if err := r.start(res); err != nil {
 		return err
--- a/placement.go
+++ b/placement.go
@@ -42,6 +42,8 @@
 	// Paced tells the shortest time between two events of the attempt's stream
 	// in the last part of it.
 	Paced(p *Placement, gap time.Duration)
+	// Gap tells the time between the last two events of the attempt's stream.
+	Gap(p *Placement, gap time.Duration)
 	// Slowness tells how many times slower than it should be p's endpoint is
 	// believed to be now, at least 1.
 	Slowness(p *Placement) float64
@@ -81,6 +83,9 @@
 	// FirstToken is the time from dispatch to the first event, 0 when none
 	// came; Duration that to the end.
 	FirstToken, Duration time.Duration
+	// LongestPause is the longest time between two parts of a stream, 0 where it is
+	// not measured.
+	LongestPause time.Duration
 }
 
 // Policy tells the configured value of a knob for a scope. Implementations are
--- a/placement/baseline.go
+++ b/placement/baseline.go
@@ -207,6 +207,9 @@
 // Paced implements hornbeamstage.Placer.
 func (b *Baseline) Paced(*hbs.Placement, time.Duration) {}
 
+// Gap implements hornbeamstage.Placer.
+func (b *Baseline) Gap(*hbs.Placement, time.Duration) {}
+
 // Finish implements hornbeamstage.Placer.
 func (b *Baseline) Finish(p *hbs.Placement, r hbs.AttemptResult) {
 	b.mu.Lock()
--- a/placement/cost.go
+++ b/placement/cost.go
@@ -83,8 +83,10 @@
 		m.wait += over / slots * g.rates.perOutput * float64(req.ExpectedTokens)
 	}
 	m.first = g.rates.base*m.score.Slowness() + m.wait + m.importTime + miss*perToken
+	slowdown := m.tempo.slowdown(now)
 	m.cost = m.first + t.batchCost*total.Running/slots
-	m.cost += t.stallCost * miss * g.rates.perToken * min(total.Running, slots)
+	m.cost += (slowdown - 1) * (g.rates.base + miss*perToken)
+	m.cost += slowdown * t.stallCost * miss * g.rates.perToken * min(total.Running, slots)
 	m.cost += f.spreadCost(g, m) * g.rates.perToken * offSet(m, prompt, g.shared)
 	m.cost += t.rolloutCost(g, m, req)
 	if m.domain.name != f.Self.Domain {
--- a/placement/fleet.go
+++ b/placement/fleet.go
@@ -65,6 +65,11 @@
 //  10. Answers cost more at engines with older weights than the newest ones, and
 //     long ones still more at those that are about to change them, as the change
 //     waits for them.
+//  11. A stream's last gap tells at once how its endpoint does. Where it is much
+//     longer than usual for the model, the endpoint computes prompts, those of
+//     other instances among them, or is short of processor time. For a few events'
+//     time the own computation there costs as many times more, and so does the
+//     delay of the streams beside it.
 type Fleet struct {
 	Directory hbs.Directory
 	Policy    hbs.Policy
--- a/placement/member.go
+++ b/placement/member.go
@@ -39,6 +39,7 @@
 	heard  time.Time
 	ledger load.Ledger
 	score  straggler.Score
+	tempo  tempo
 	group  *group
 	domain *domain
 
--- a/placement/rates.go
+++ b/placement/rates.go
@@ -37,6 +37,7 @@
 	creditGain   = 0.02
 	storeGain    = 0.05
 	gapGain      = 0.05
+	eventGain    = 0.05
 	tailGain     = 0.02
 	tailShare    = 0.95
 	maxTail      = 8
@@ -60,10 +61,12 @@
 	// gap is the median of the shortest times between tokens of parts of streams,
 	// in seconds.
 	gap float64
+	// event is the median of all times between events of streams, in seconds.
+	event float64
 }
 
 func newRates() rates {
-	return rates{perToken: defaultPerToken, base: defaultBase, perOutput: defaultPerOutput, gap: defaultPerOutput, tail: defaultTail, store: 1}
+	return rates{perToken: defaultPerToken, base: defaultBase, perOutput: defaultPerOutput, gap: defaultPerOutput, event: defaultPerOutput, tail: defaultTail, store: 1}
 }
 
 // first learns from an answer whose first token came after the time t, when
@@ -123,6 +126,15 @@
 	r.perOutput += durationGain * (t.Seconds()/float64(n-1) - r.perOutput)
 }
 
+// between learns from the time between two events of a stream.
+func (r *rates) between(gap time.Duration) {
+	step := eventGain / 2 * r.event
+	if gap.Seconds() < r.event {
+		step = -step
+	}
+	r.event = max(r.event+step, minPerToken)
+}
+
 // paced learns from the shortest time between tokens of a part of a stream.
 func (r *rates) paced(gap time.Duration) {
 	step := gapGain / 2 * r.gap
