--- a/converge/step.go
+++ b/converge/step.go
@@ -68,15 +68,7 @@
 	return e != nil && e.Incarnation == s.engine.Incarnation
 }
 
-func (s *step) record() *hbs.Endpoint {
-	r := s.Directory.Roster()
-	for i := range r.Endpoints {
-		if r.Endpoints[i].ID == s.engine.ID {
-			return &r.Endpoints[i]
-		}
-	}
-	return nil
-}
+func (s *step) record() *hbs.Endpoint { return s.Directory.Roster().Endpoint(s.engine.ID) }
 
 // try reads the engine's report and gives one order, unless one is under way
 // (C3). It returns the version that the engine should come to.
--- a/endpoint.go
+++ b/endpoint.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"slices"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 )
@@ -196,6 +197,15 @@
 	Elsewhere map[ModelName]int
 }
 
+// Endpoint returns the endpoint with the id, or nil.
+func (r *Roster) Endpoint(id EndpointID) *Endpoint {
+	i, ok := slices.BinarySearchFunc(r.Endpoints, id, func(e Endpoint, id EndpointID) int { return strings.Compare(string(e.ID), string(id)) })
+	if !ok {
+		return nil
+	}
+	return &r.Endpoints[i]
+}
+
 // Directory tells the current members.
 type Directory interface {
 	// Roster returns the newest roster, never nil. It does not block.
--- a/weights/rollout.go
+++ b/weights/rollout.go
@@ -208,7 +208,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	maps.DeleteFunc(r.next, func(id hbs.EndpointID, _ time.Time) bool {
-		return !slices.ContainsFunc(roster.Endpoints, func(e hbs.Endpoint) bool { return e.ID == id })
+		return roster.Endpoint(id) == nil
 	})
 }
 
