--- a/gateway/server.go
+++ b/gateway/server.go
@@ -13,8 +13,9 @@
 	"github.com/hornbeamstage/hornbeamstage/platform"
 )
 
-// bounds are above any that callers are promised: a connection that closes while
-// a request is on its way loses it. So are the bytes above what operators publish.
+// bounds are longer than any wait that callers are promised, since a connection
+// that closes while a request is on its way loses it, and wider than any header
+// that operators publish.
 var bounds = network.Bounds{HeaderWait: 30 * time.Second, IdleWait: 5 * time.Minute, HeaderBytes: 64 << 10}
 
 func (g *Gateway) listen(name string, addr netip.AddrPort, h http.Handler) (s *network.Server, err error) {
--- a/placement/booking.go
+++ b/placement/booking.go
@@ -81,8 +81,8 @@
 func (f *Fleet) Paced(p *hbs.Placement, gap time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	b := f.bookings[p.Attempt]
-	if b == nil || b.life != b.member.life {
+	b := f.running(p)
+	if b == nil {
 		return
 	}
 	now := time.Now()
@@ -97,6 +97,16 @@
 	rates.paced(gap)
 }
 
+// running returns the booking of an attempt whose endpoint still lives the life
+// that it was placed in, or nil.
+func (f *Fleet) running(p *hbs.Placement) *booking {
+	b := f.bookings[p.Attempt]
+	if b == nil || b.life != b.member.life {
+		return nil
+	}
+	return b
+}
+
 // Slowness implements hornbeamstage.Placer.
 func (f *Fleet) Slowness(p *hbs.Placement) float64 {
 	f.mu.Lock()
--- a/placement/cost.go
+++ b/placement/cost.go
@@ -83,7 +83,7 @@
 		m.wait += over / slots * g.rates.perOutput * float64(req.ExpectedTokens)
 	}
 	m.first = g.rates.base*m.score.Slowness() + m.wait + m.importTime + miss*perToken
-	slowdown := m.tempo.slowdown(now)
+	slowdown := m.lastGap.slowdown(now)
 	m.cost = m.first + t.batchCost*total.Running/slots
 	m.cost += (slowdown - 1) * (g.rates.base + miss*perToken)
 	m.cost += slowdown * t.stallCost * miss * g.rates.perToken * min(total.Running, slots)
--- a/placement/member.go
+++ b/placement/member.go
@@ -39,9 +39,10 @@
 	heard  time.Time
 	ledger load.Ledger
 	score  straggler.Score
-	tempo  tempo
-	group  *group
-	domain *domain
+	// lastGap is that of any own stream on the endpoint.
+	lastGap lastGap
+	group   *group
+	domain  *domain
 
 	// failures counts failures in a row; no new work goes here before paused.
 	balance  balance
