placement: both medians of gaps move by one function

rates.between was rates.paced written again, with a gain of its own of the same value; towards serves both. hbs.Roster.Endpoint compares ids as they are.

--- a/endpoint.go
+++ b/endpoint.go
@@ -1,9 +1,9 @@
 package hornbeamstage
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
-	"strings"
 
 	"github.com/cockroachdb/errors"
 )
@@ -199,7 +199,7 @@
 
 // Endpoint returns the endpoint with the id, or nil.
 func (r *Roster) Endpoint(id EndpointID) *Endpoint {
-	i, ok := slices.BinarySearchFunc(r.Endpoints, id, func(e Endpoint, id EndpointID) int { return strings.Compare(string(e.ID), string(id)) })
+	i, ok := slices.BinarySearchFunc(r.Endpoints, id, func(e Endpoint, id EndpointID) int { return cmp.Compare(e.ID, id) })
 	if !ok {
 		return nil
 	}
--- a/placement/rates.go
+++ b/placement/rates.go
@@ -37,7 +37,6 @@
 	creditGain   = 0.02
 	storeGain    = 0.05
 	gapGain      = 0.05
-	eventGain    = 0.05
 	tailGain     = 0.02
 	tailShare    = 0.95
 	maxTail      = 8
@@ -127,19 +126,16 @@
 }
 
 // between learns from the time between two events of a stream.
-func (r *rates) between(gap time.Duration) {
-	step := eventGain / 2 * r.event
-	if gap.Seconds() < r.event {
-		step = -step
-	}
-	r.event = max(r.event+step, minPerToken)
-}
+func (r *rates) between(gap time.Duration) { r.event = towards(r.event, gap) }
 
 // paced learns from the shortest time between tokens of a part of a stream.
-func (r *rates) paced(gap time.Duration) {
-	step := gapGain / 2 * r.gap
-	if gap.Seconds() < r.gap {
+func (r *rates) paced(gap time.Duration) { r.gap = towards(r.gap, gap) }
+
+// towards moves the median of gaps, in seconds, by one of them.
+func towards(median float64, gap time.Duration) float64 {
+	step := gapGain / 2 * median
+	if gap.Seconds() < median {
 		step = -step
 	}
-	r.gap = max(r.gap+step, minPerToken)
+	return max(median+step, minPerToken)
 }
