forward, attempt, network: a response without an end is broken off

Cause: a response's header was bounded only by net/http's default of 10 MiB, for each running attempt, and a body not at all; an error response over 1 MiB ended as a complete answer (forward) or was passed on cut to 256 KiB as if it were whole (attempt).

Change: headers are bounded to 64 KiB (network.MaxHeaderBytes), responses to attempt.max_bytes, 64 MiB by default; the attempt then ends as broken, its connection is closed and the endpoint's failure is counted. What all attempts of a gateway buffer together is bounded to a tenth of its memory; beyond it a response is passed on as it arrives. A long error response counts as failed. A stand-in (standin/endless) sends headers, interim responses, bodies and streams without an end, fast or a byte a second.

Headers that drip end with the request's deadline (forward) or with the timeout of the first event (attempt), as before.

--- a/attempt/attempt.go
+++ b/attempt/attempt.go
@@ -26,6 +26,9 @@
 //     canceled at once: by closing the connection, and by an explicit request to
 //     engines that retain streams for resuming.
 //  7. Nothing reaches the caller before the attempt has won (Win) its request.
+//  8. An endpoint may send bytes without end. A header longer than
+//     network.MaxHeaderBytes, an event longer than relay.MaxEventBytes and a
+//     response longer than attempt.max_bytes break the attempt.
 package attempt
 
 import (
--- a/attempt/body_test.go
+++ b/attempt/body_test.go
@@ -10,7 +10,11 @@
 	. "github.com/onsi/gomega"
 )
 
+// suite is the test that runs the specs; synctest bubbles need it.
+var suite *testing.T
+
 func TestAttempt(t *testing.T) {
+	suite = t
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "attempt")
 }
--- a/attempt/dispatch.go
+++ b/attempt/dispatch.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	hbs "github.com/hornbeamstage/hornbeamstage"
+	"github.com/hornbeamstage/hornbeamstage/network"
 	"github.com/hornbeamstage/hornbeamstage/prompt"
 )
 
@@ -142,7 +143,17 @@
 		q.Body = io.NopCloser(bytes.NewReader(body))
 		q.ContentLength = int64(len(body))
 	}
-	return SingleUse(conn).RoundTrip(q)
+	return r.roundTrip(conn, q)
+}
+
+// roundTrip sends q on conn and limits the length of the response (rule 8).
+func (r *run) roundTrip(conn net.Conn, q *http.Request) (*http.Response, error) {
+	res, err := SingleUse(conn).RoundTrip(q)
+	if err != nil {
+		return nil, err
+	}
+	network.LimitResponse(res, int64(r.Policy.Number(KnobMaxBytes, r.scope())))
+	return res, nil
 }
 
 // endpointURL joins addr and path, which includes the query.
--- a/attempt/knobs.go
+++ b/attempt/knobs.go
@@ -11,6 +11,7 @@
 	KnobStallToken     hbs.KnobKey = "attempt.stall_token"
 	KnobResumeWindow   hbs.KnobKey = "attempt.resume_window"
 	KnobWholeBytes     hbs.KnobKey = "attempt.whole_bytes"
+	KnobMaxBytes       hbs.KnobKey = "attempt.max_bytes"
 )
 
 // Knobs documents the configurable values of the package.
@@ -29,6 +30,8 @@
 		Unit: hbs.UnitDuration, Default: 2, Min: 0.1, Max: 60},
 	{Key: KnobWholeBytes, Title: "size up to which a response is buffered", Text: "A response that is not streamed is buffered up to this size, so that a broken one can be retried without the caller seeing part of it.",
 		Unit: hbs.UnitBytes, Default: 1 << 20, Min: 0, Max: 1 << 24},
+	{Key: KnobMaxBytes, Title: "largest response", Text: "A response that exceeds it is broken off, because its endpoint may never end it. Raise it for services with longer responses.",
+		Unit: hbs.UnitBytes, Default: 1 << 26, Min: 1 << 10, Max: 1 << 32},
 }
 
 // Meters documents the metrics of the package.
--- a/attempt/plain.go
+++ b/attempt/plain.go
@@ -7,7 +7,10 @@
 	"io"
 	"net/http"
 
+	"github.com/cockroachdb/errors"
+
 	hbs "github.com/hornbeamstage/hornbeamstage"
+	"github.com/hornbeamstage/hornbeamstage/network"
 	"github.com/hornbeamstage/hornbeamstage/relay"
 )
 
@@ -32,10 +35,14 @@
 	return r.engine() || r.Request.Class == hbs.ClassRepeatable
 }
 
-// bufferError buffers an error response for the dispatcher, truncated to
-// maxErrorBytes; errors of engines are short.
+// bufferError buffers an error response for the dispatcher. One that is longer than
+// maxErrorBytes is dropped: part of it would look like all of it.
 func (r *run) bufferError(ctx context.Context, res *http.Response) {
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxErrorBytes))
+	body, err := network.ReadBody(res.Body, maxErrorBytes)
+	if errors.Is(err, network.ErrTooLong) {
+		r.endFailed(http.StatusText(res.StatusCode) + ": " + err.Error())
+		return
+	}
 	if err != nil {
 		r.endBroken(ctx, err)
 		return
@@ -47,8 +54,13 @@
 		r.result.Refusal = hbs.NotRun(hbs.ReasonNoEndpoint, "the engine refused", 0)
 		return
 	}
+	r.endFailed(http.StatusText(res.StatusCode))
+}
+
+// endFailed records that the endpoint answered with an error.
+func (r *run) endFailed(detail string) {
 	r.result.End = hbs.EndFailed
-	r.result.Refusal = &hbs.Refusal{Outcome: hbs.OutcomeFailed, Reason: hbs.ReasonEndpointError, Detail: http.StatusText(res.StatusCode)}
+	r.result.Refusal = &hbs.Refusal{Outcome: hbs.OutcomeFailed, Reason: hbs.ReasonEndpointError, Detail: detail}
 }
 
 func isNotRunError(status int, body []byte) bool {
--- a/attempt/stream.go
+++ b/attempt/stream.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	hbs "github.com/hornbeamstage/hornbeamstage"
+	"github.com/hornbeamstage/hornbeamstage/network"
 	"github.com/hornbeamstage/hornbeamstage/relay"
 )
 
@@ -125,7 +126,7 @@
 	if !r.resumable() || r.streamUnavailable {
 		return false
 	}
-	for _, final := range []error{errLostRace, errStreamUnavailable, errCallerLeft, relay.ErrEngine} {
+	for _, final := range []error{errLostRace, errStreamUnavailable, errCallerLeft, relay.ErrEngine, network.ErrTooLong} {
 		if errors.Is(err, final) {
 			return false
 		}
@@ -183,7 +184,7 @@
 		return nil, nil, err
 	}
 	q.Header.Set(headerAttempt, string(r.Placement.Attempt))
-	res, err = SingleUse(conn).RoundTrip(q)
+	res, err = r.roundTrip(conn, q)
 	if err != nil {
 		_ = conn.Close()
 		return nil, nil, err
--- a/attempt/transport.go
+++ b/attempt/transport.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/hornbeamstage/hornbeamstage/network"
 )
 
 // errConnUsed is returned for a second dial (rule 1).
@@ -23,7 +25,8 @@
 			}
 			return conn, nil
 		},
-		DisableKeepAlives:  true,
-		DisableCompression: true,
+		DisableKeepAlives:      true,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: network.MaxHeaderBytes,
 	}
 }
--- /dev/null
+++ b/forward/endless_test.go
@@ -0,0 +1,167 @@
+package forward
+
+import (
+	"context"
+	"maps"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+
+	hbs "github.com/hornbeamstage/hornbeamstage"
+	"github.com/hornbeamstage/hornbeamstage/attempt"
+	"github.com/hornbeamstage/hornbeamstage/knob"
+	"github.com/hornbeamstage/hornbeamstage/standin/endless"
+)
+
+// requestTime is the time between a request and its deadline.
+const requestTime = 5 * time.Second
+
+// countingSink counts what the caller receives.
+type countingSink struct {
+	status, bytes int
+}
+
+func (s *countingSink) Start(status int, _ http.Header) error {
+	s.status = status
+	return nil
+}
+
+func (s *countingSink) Write(p []byte) error {
+	s.bytes += len(p)
+	return nil
+}
+
+// testRun is one attempt at a server whose response never ends.
+type testRun struct {
+	attempt.Result
+	endless.Played
+	sink countingSink
+}
+
+// runEndless runs one attempt of a repeatable request at a server.
+func runEndless(s *Sender, r endless.Response, rate endless.Rate) (out testRun) {
+	out.Played = endless.Play(suite, r, rate, func(ctx context.Context, n hbs.Network, server netip.AddrPort) {
+		s.Network, s.Policy, s.Metrics = n, knob.NewFixed(attempt.Knobs), metrics.NewRegistry()
+		req := &hbs.Request{ID: "r1", Class: hbs.ClassRepeatable, Method: http.MethodGet, Path: "/x", Header: http.Header{}, Deadline: time.Now().Add(requestTime)}
+		ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+		defer cancel()
+		out.Result = s.Run(ctx, &attempt.Call{Request: req, Sink: &out.sink, Placement: &hbs.Placement{Endpoint: hbs.Endpoint{Address: server}}})
+	})
+	return out
+}
+
+// headerNames returns the descriptions of the responses whose header never ends.
+func headerNames() []string { return slices.Sorted(maps.Keys(endless.Headers)) }
+
+// ownHeader is the header with which a response counts as the attempt's own.
+const ownHeader = "X-Request-Id: r1\r\nX-Instance-Stamp: s\r\n"
+
+var _ = Describe("a response that never ends", func() {
+	for _, name := range headerNames() {
+		It("is broken off within its header: "+name, func() {
+			r := runEndless(&Sender{}, endless.Headers[name], endless.Fast)
+			Expect(r.End).To(Equal(hbs.EndBroken))
+			Expect(r.Refusal.Outcome).To(Equal(hbs.OutcomeUnknown))
+			Expect(r.Sent).To(BeNumerically("<", 256<<10))
+			Expect(r.Open).To(BeZero())
+		})
+
+		It("ends with the request if its header arrives slowly: "+name, func() {
+			r := runEndless(&Sender{}, endless.Headers[name], endless.Drips)
+			Expect(r.Refusal.Outcome).To(Equal(hbs.OutcomeUnknown))
+			Expect(r.Took).To(BeNumerically("<=", requestTime))
+			Expect(r.Open).To(BeZero())
+		})
+	}
+
+	It("counts as failed, not complete, if its status is an error", func() {
+		r := runEndless(&Sender{}, endless.Body("500 Internal Server Error", ownHeader, "x"), endless.Fast)
+		Expect(r.End).NotTo(Equal(hbs.EndComplete))
+		Expect(r.Refusal).NotTo(BeNil())
+		Expect(r.Open).To(BeZero())
+	})
+
+	DescribeTable("is broken off at the largest size of a response", func(header, repeat string) {
+		r := runEndless(&Sender{}, endless.Body("200 OK", ownHeader+header, repeat), endless.Fast)
+		Expect(r.End).To(Equal(hbs.EndBroken))
+		Expect(r.Refusal.Outcome).To(Equal(hbs.OutcomeUnknown))
+		Expect(r.sink.bytes).To(BeNumerically("<=", 64<<20))
+		Expect(r.Open).To(BeZero())
+	},
+		Entry("a body", "", "x"),
+		Entry("a stream without an event", "Content-Type: text/event-stream\r\n", "x"),
+		Entry("a stream of empty lines", "Content-Type: text/event-stream\r\n", "\n"),
+		Entry("a stream of comments", "Content-Type: text/event-stream\r\n", ":\n"),
+		Entry("a stream of events", "Content-Type: text/event-stream\r\n", "data: x\n\n"),
+	)
+
+	It("ends with the request if its body arrives slowly", func() {
+		r := runEndless(&Sender{}, endless.Body("200 OK", ownHeader, "x"), endless.Drips)
+		Expect(r.End).To(Equal(hbs.EndCanceled))
+		Expect(r.Refusal.Reason).To(Equal(hbs.ReasonExpired))
+		Expect(r.Took).To(Equal(requestTime))
+		Expect(r.Open).To(BeZero())
+	})
+})
+
+// pieces is the number of steps of memory in the body of sizedResponse.
+const pieces = 10
+
+// sizedResponse is a complete response that is followed by bytes without an end.
+func sizedResponse() endless.Response {
+	length := pieces * bufferStep
+	return endless.Response{
+		Start:  "HTTP/1.1 200 OK\r\nContent-Length: " + strconv.Itoa(length) + "\r\n" + ownHeader + "\r\n" + strings.Repeat("x", length),
+		Repeat: "HTTP/1.1 200 OK\r\n\r\n",
+	}
+}
+
+var _ = It("passes a complete response on and closes the connection on what follows it", func() {
+	r := runEndless(&Sender{}, sizedResponse(), endless.Fast)
+	Expect(r.End).To(Equal(hbs.EndComplete))
+	Expect(r.sink).To(Equal(countingSink{status: http.StatusOK, bytes: pieces * bufferStep}))
+	Expect(r.Open).To(BeZero())
+})
+
+var _ = Describe("the memory for responses", func() {
+	It("is shared by all attempts, and returned at their ends", func() {
+		var m memory
+		first, second := &reservation{memory: &m, limit: 2 * bufferStep}, &reservation{memory: &m, limit: 2 * bufferStep}
+		Expect(first.grow()).To(BeTrue())
+		Expect(second.grow()).To(BeTrue())
+		Expect(second.grow()).To(BeFalse())
+		first.release()
+		Expect(second.grow()).To(BeTrue())
+	})
+
+	It("bounds how much of a response is held back, not its length", func() {
+		r := runEndless(&Sender{BufferBytes: 2 * bufferStep}, sizedResponse(), endless.Fast)
+		Expect(r.End).To(Equal(hbs.EndComplete))
+		Expect(r.sink.bytes).To(Equal(pieces * bufferStep))
+	})
+
+	It("breaks a stream whose event doesn't fit into it", func() {
+		s := &Sender{BufferBytes: 2 * bufferStep}
+		r := runEndless(s, endless.Body("200 OK", ownHeader+"Content-Type: text/event-stream\r\n", "x"), endless.Fast)
+		Expect(r.End).To(Equal(hbs.EndBroken))
+		Expect(r.Refusal.Detail).To(ContainSubstring(errNoMemory.Error()))
+		Expect(s.memory.used.Load()).To(BeZero())
+	})
+})
+
+var _ = It("passes an error response on that is too long to be buffered, and counts it as failed", func() {
+	length := 2 << 20
+	head := "Content-Length: " + strconv.Itoa(length) + "\r\n" + ownHeader
+	body := endless.Response{Start: "HTTP/1.1 500 Internal Server Error\r\n" + head + "\r\n" + strings.Repeat("x", length), Repeat: "y"}
+	r := runEndless(&Sender{}, body, endless.Drips)
+	Expect(r.sink).To(Equal(countingSink{status: http.StatusInternalServerError, bytes: length}))
+	Expect(r.End).To(Equal(hbs.EndFailed))
+	Expect(r.Open).To(BeZero())
+})
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -10,17 +10,22 @@
 //  3. A response is passed to the caller only if it doesn't name another request
 //     and, when it is a success, carries the endpoint's receipt.
 //  4. A response that is not a stream is buffered until it is complete, so that the
-//     caller never gets a part of a broken one. Only a response longer than
-//     maxBuffered is passed on before it is complete.
+//     caller never gets a part of a broken one. It is passed on before it is
+//     complete only if it is longer than attempt.whole_bytes or the buffers of all
+//     attempts together exceed Sender.BufferBytes.
 //  5. Events are passed on complete and in order as they arrive. A broken stream
 //     ends without a regular end, which the caller can detect, unless another
 //     attempt can resume after the last event that was passed on.
 //  6. A stream without events for a while is not a reason to end an attempt. Only
 //     the deadline or the caller ends it.
+//  7. An endpoint may send bytes without end, in the header or the body. A header
+//     longer than network.MaxHeaderBytes, an event longer than maxEvent and a
+//     response longer than attempt.max_bytes break the attempt.
 package forward
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -36,6 +41,7 @@
 	"github.com/hornbeamstage/hornbeamstage/admission"
 	"github.com/hornbeamstage/hornbeamstage/attempt"
 	"github.com/hornbeamstage/hornbeamstage/caller"
+	"github.com/hornbeamstage/hornbeamstage/network"
 	"github.com/hornbeamstage/hornbeamstage/platform"
 )
 
@@ -46,7 +52,8 @@
 	errCallerLeft = errors.New("caller left")
 )
 
-// Sender runs attempts. It holds no connections and starts no goroutines.
+// Sender runs attempts. It holds no connections and starts no goroutines. Its
+// exported fields must be set before Run.
 type Sender struct {
 	Network hbs.Network
 	Policy  hbs.Policy
@@ -60,6 +67,11 @@
 	// OnMismatch is called when an endpoint reported that it is not the intended
 	// one, or that it has other weights; may be nil.
 	OnMismatch func(e *hbs.Endpoint, a *platform.ResponseInfo)
+	// BufferBytes bounds the parts of responses that all attempts together have
+	// buffered, in bytes; 0 means defaultBufferBytes.
+	BufferBytes int64
+
+	memory memory
 }
 
 var _ attempt.Runner = (*Sender)(nil)
@@ -67,6 +79,8 @@
 // Run implements attempt.Runner.
 func (s *Sender) Run(ctx context.Context, c *attempt.Call) attempt.Result {
 	r := &run{Sender: s, Call: c, started: time.Now()}
+	r.buffers = reservation{memory: &s.memory, limit: cmp.Or(s.BufferBytes, defaultBufferBytes)}
+	defer r.buffers.release()
 	r.result.CachedTokens = -1
 	r.execute(ctx)
 	r.result.Duration = time.Since(r.started)
@@ -82,6 +96,13 @@
 	// lastArrival is when events of the stream last arrived.
 	lastArrival time.Time
 	result      attempt.Result
+	buffers     reservation
+}
+
+// scope returns the scope in which knobs are looked up.
+func (r *run) scope() hbs.Scope {
+	e := &r.Placement.Endpoint
+	return hbs.Scope{Service: e.Service, Domain: e.Domain}
 }
 
 // execute runs the attempt and fills in the result.
@@ -110,10 +131,9 @@
 }
 
 func (r *run) connect(ctx context.Context) (net.Conn, error) {
-	e := &r.Placement.Endpoint
-	ctx, cancel := context.WithTimeout(ctx, r.Policy.Duration(attempt.KnobConnectTimeout, hbs.Scope{Service: e.Service, Domain: e.Domain}))
+	ctx, cancel := context.WithTimeout(ctx, r.Policy.Duration(attempt.KnobConnectTimeout, r.scope()))
 	defer cancel()
-	return r.Network.Dial(ctx, e.Address)
+	return r.Network.Dial(ctx, r.Placement.Endpoint.Address)
 }
 
 func (r *run) exchange(ctx context.Context, conn net.Conn) (*http.Response, error) {
@@ -173,6 +193,7 @@
 // handleResponse validates the response and passes it on.
 func (r *run) handleResponse(ctx context.Context, res *http.Response) {
 	a := platform.DecodeResponseInfo(res.StatusCode, res.Header)
+	network.LimitResponse(res, int64(r.Policy.Number(attempt.KnobMaxBytes, r.scope())))
 	r.result.Status = res.StatusCode
 	r.result.Weights = a.Weights
 	switch {
@@ -206,27 +227,27 @@
 	r.result.Refusal = &hbs.Refusal{Outcome: hbs.OutcomeUnknown, Reason: hbs.ReasonAnswerMismatch, Detail: detail}
 }
 
-// maxBuffered bounds the buffered part of a response that is not a stream, in bytes.
-const maxBuffered = 1 << 20
-
 // passBuffered buffers a response that is not a stream and passes it on (rule 4).
-// The part of it beyond maxBuffered is passed on unbuffered.
+// What exceeds the buffer is passed on as it arrives.
 func (r *run) passBuffered(ctx context.Context, res *http.Response) {
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxBuffered+1))
+	data, whole, err := r.buffers.buffer(res.Body, int(r.Policy.Number(attempt.KnobWholeBytes, r.scope())))
 	if err != nil {
 		r.failBroken(ctx, err)
 		return
 	}
 	r.recordFirstToken()
-	if res.StatusCode >= 400 && len(body) <= maxBuffered {
-		r.bufferError(res, body)
+	if res.StatusCode >= 400 && whole {
+		r.bufferError(res, data)
 		return
 	}
-	if err := r.passBody(res, body); err != nil {
+	if err := r.passBody(res, io.MultiReader(bytes.NewReader(data), res.Body)); err != nil {
 		r.failBroken(ctx, err)
 		return
 	}
 	r.result.End = hbs.EndComplete
+	if res.StatusCode >= 400 {
+		r.result.End = hbs.EndFailed
+	}
 }
 
 // bufferError stores an endpoint's error response, so that the dispatcher can retry or
@@ -239,20 +260,12 @@
 	r.result.Refusal = &hbs.Refusal{Outcome: hbs.OutcomeFailed, Reason: hbs.ReasonEndpointError, Detail: http.StatusText(res.StatusCode)}
 }
 
-// passBody passes body on, and the rest of the response if body is not all of it.
-func (r *run) passBody(res *http.Response, body []byte) error {
+// passBody passes a response with the given body on.
+func (r *run) passBody(res *http.Response, body io.Reader) error {
 	if err := r.startResponse(res); err != nil {
 		return err
 	}
-	if len(body) > 0 {
-		if err := r.write(body); err != nil {
-			return err
-		}
-	}
-	if len(body) <= maxBuffered {
-		return nil
-	}
-	_, err := io.Copy(writerFunc(r.write), res.Body)
+	_, err := io.Copy(writerFunc(r.write), body)
 	return err
 }
 
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -26,7 +26,7 @@
 
 // passStream passes the events of a stream on (rule 5).
 func (r *run) passStream(ctx context.Context, res *http.Response) {
-	s := &eventReader{src: bufio.NewReaderSize(res.Body, streamBuffer), lastID: parseEventID(r.ResumeAfter)}
+	s := &eventReader{src: bufio.NewReaderSize(res.Body, streamBuffer), lastID: parseEventID(r.ResumeAfter), buffers: &r.buffers}
 	for {
 		batch, err := s.next()
 		if len(batch) > 0 {
@@ -124,6 +124,8 @@
 	id int64
 	// lineStart is the offset of the last line in event.
 	lineStart int
+	// buffers accounts for what event has beyond streamBuffer; nil means no limit.
+	buffers *reservation
 }
 
 // next returns the complete events that have arrived, at least one unless the
@@ -146,10 +148,23 @@
 		default:
 			e.parseLine()
 		}
-		if len(e.event) > maxEvent {
-			return e.batch, errors.Newf("event exceeds %d bytes", maxEvent)
+		if err := e.checkSize(); err != nil {
+			return e.batch, err
+		}
+	}
+}
+
+// checkSize returns an error if the incomplete event is too long.
+func (e *eventReader) checkSize() error {
+	if len(e.event) > maxEvent {
+		return errors.Newf("event exceeds %d bytes", maxEvent)
+	}
+	for e.buffers != nil && int64(len(e.event)) > streamBuffer+e.buffers.bytes {
+		if !e.buffers.grow() {
+			return errNoMemory
 		}
 	}
+	return nil
 }
 
 // parseLine parses the last line of the event.
--- a/gateway/assemble.go
+++ b/gateway/assemble.go
@@ -57,6 +57,9 @@
 	// further home endpoint. It is low because the limit is the queueing at the
 	// home: engines load prefixes from each other in milliseconds.
 	fullLoad = 0.1
+	// bufferShare is the share of the process's memory in which responses may be
+	// buffered before they are passed on.
+	bufferShare = 0.1
 )
 
 // assemble builds the components in dependency order.
@@ -111,6 +114,7 @@
 	}
 	sender := &forward.Sender{
 		Network: g.Network, Policy: g.policy, Metrics: g.Metrics,
+		BufferBytes: int64(bufferShare * float64(g.PlatformSettings.MemoryBytes)),
 		EventTokens: g.routes.eventTokens,
 		CacheStore:  g.routes.kvStoreAddress,
 		OnMismatch: func(e *hbs.Endpoint, r *platform.ResponseInfo) {
--- a/network/network.go
+++ b/network/network.go
@@ -38,7 +38,7 @@
 }
 
 // Transport returns an HTTP transport whose connections are opened by n. It reuses
-// connections and does not request compression.
+// connections, does not request compression and bounds the headers of responses.
 func Transport(n hbs.Network) *http.Transport {
 	return &http.Transport{
 		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
@@ -48,8 +48,9 @@
 			}
 			return n.Dial(ctx, ap)
 		},
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: 64,
-		IdleConnTimeout:     30 * time.Second,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: MaxHeaderBytes,
+		MaxIdleConnsPerHost:    64,
+		IdleConnTimeout:        30 * time.Second,
 	}
 }
--- /dev/null
+++ b/standin/endless/endless.go
@@ -0,0 +1,151 @@
+// Package endless is a stand-in for a server whose responses never end. It sends
+// bytes, as fast as they are read or one at a time, until the client closes the
+// connection.
+package endless
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+
+	hbs "github.com/hornbeamstage/hornbeamstage"
+	"github.com/hornbeamstage/hornbeamstage/delay"
+)
+
+// Response is a response without an end.
+type Response struct {
+	// Start is sent once.
+	Start string
+	// Repeat is sent again and again after Start; not empty.
+	Repeat string
+}
+
+// The responses whose header never ends.
+var (
+	// NoHTTP are bytes that begin no HTTP response.
+	NoHTTP = Response{Repeat: "x"}
+	// HeaderLine is a header with one line that never ends.
+	HeaderLine = Response{Start: "HTTP/1.1 200 OK\r\nX-Filler: ", Repeat: "x"}
+	// HeaderLines is a header with more and more lines.
+	HeaderLines = Response{Start: "HTTP/1.1 200 OK\r\n", Repeat: "X-Filler: x\r\n"}
+	// Interim are interim responses that no final response follows.
+	Interim = Response{Repeat: "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"}
+)
+
+// Headers are the responses whose header never ends, by a description for tests.
+var Headers = map[string]Response{
+	"bytes that are no response": NoHTTP, "a header line without an end": HeaderLine,
+	"header lines without an end": HeaderLines, "interim responses without an end": Interim,
+}
+
+// Body returns a response with the given header lines, each ended by "\r\n", whose
+// body consists of repeat.
+func Body(status, header, repeat string) Response {
+	return Response{Start: "HTTP/1.1 " + status + "\r\n" + header + "\r\n", Repeat: repeat}
+}
+
+// Rate is how fast a response is sent.
+type Rate struct {
+	// Bytes are sent at once, positive.
+	Bytes int
+	// Interval is the time between two sends, positive.
+	Interval time.Duration
+}
+
+// The rates of most tests.
+var (
+	Fast  = Rate{Bytes: 16 << 10, Interval: time.Millisecond}
+	Drips = Rate{Bytes: 1, Interval: time.Second}
+)
+
+// Server serves one response on each connection. Exported fields are set before
+// Run.
+type Server struct {
+	Address  netip.AddrPort
+	Network  hbs.Network
+	Response Response
+	Rate     Rate
+
+	mu   sync.Mutex
+	sent int
+	open int
+	seen int
+}
+
+// Run serves until ctx ends.
+func (s *Server) Run(ctx context.Context) (err error) {
+	defer func() { err = errors.Wrapf(err, "endless server %s", s.Address) }()
+	l, err := s.Network.Listen(s.Address)
+	if err != nil {
+		return err
+	}
+	defer context.AfterFunc(ctx, func() { _ = l.Close() })()
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return ctx.Err()
+		}
+		wg.Go(func() { s.serve(ctx, conn) })
+	}
+}
+
+// serve waits for the first bytes of a request and sends the response.
+func (s *Server) serve(ctx context.Context, conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
+	s.add(0, 1)
+	defer s.add(0, -1)
+	if _, err := conn.Read(make([]byte, 1)); err != nil {
+		return
+	}
+	if _, err := conn.Write([]byte(s.Response.Start)); err != nil {
+		return
+	}
+	repeat := s.Response.Repeat
+	text := strings.Repeat(repeat, 2+s.Rate.Bytes/len(repeat))
+	for at := 0; ; at = (at + s.Rate.Bytes) % len(repeat) {
+		n, err := conn.Write([]byte(text[at : at+s.Rate.Bytes]))
+		s.add(n, 0)
+		if err != nil || delay.For(ctx, s.Rate.Interval) != nil {
+			return
+		}
+	}
+}
+
+// add counts bytes and connections.
+func (s *Server) add(sent, open int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sent += sent
+	s.open += open
+	s.seen += max(open, 0)
+}
+
+// Sent returns the number of bytes sent after Response.Start.
+func (s *Server) Sent() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sent
+}
+
+// Open returns the number of connections that the client has not closed.
+func (s *Server) Open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.open
+}
+
+// Connections returns the number of connections accepted so far.
+func (s *Server) Connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.seen
+}
--- /dev/null
+++ b/standin/endless/play.go
@@ -0,0 +1,49 @@
+package endless
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	hbs "github.com/hornbeamstage/hornbeamstage"
+	"github.com/hornbeamstage/hornbeamstage/standin/memnet"
+)
+
+// settleTime is how long after the end of a client its connections may take to
+// close.
+const settleTime = 2 * time.Second
+
+// Played is what was seen of a client.
+type Played struct {
+	// Took is the time until the client returned.
+	Took time.Duration
+	// Sent is the number of bytes sent by then, Open the number of connections that
+	// were not closed soon after it, and Connections the number of all of them.
+	Sent, Open, Connections int
+}
+
+// Play runs client against a server with the given response, in virtual time on an
+// in-memory network.
+func Play(t *testing.T, r Response, rate Rate, client func(ctx context.Context, n hbs.Network, server netip.AddrPort)) (out Played) {
+	synctest.Test(t, func(t *testing.T) {
+		var fabric memnet.Fabric
+		n := fabric.Network("d")
+		s := &Server{Address: netip.MustParseAddrPort("10.0.0.1:80"), Network: n, Response: r, Rate: rate}
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg conc.WaitGroup
+		defer wg.Wait()
+		defer cancel()
+		wg.Go(func() { _ = s.Run(ctx) })
+		synctest.Wait()
+		begun := time.Now()
+		client(ctx, n, s.Address)
+		out.Took, out.Sent = time.Since(begun), s.Sent()
+		time.Sleep(settleTime)
+		out.Open, out.Connections = s.Open(), s.Connections()
+	})
+	return out
+}
