order, converge, cacheevent, platform, console, claim, peer: bounds on every response

Cause: calls other than callers' requests took responses without an end, too. order cut a state at 1 MiB, the cache reader a page at 1 MiB and console a status at 16 MiB, all without an error. A step of converge had no time limit on a report, and a stream of cache events none on its header or an event, so that one byte a second held the step or the reader forever, its place among the changing engines with it. A claim stored a part of an answer that was too long.

Change: network.ReadBody reads a body or says that it is too long; all these calls use it. converge bounds each call to an engine by a second, cacheevent a header or an event by 5 s; the errors of its streams are counted (cache_event_errors) and logged now. Headers between instances are bounded to 64 KiB, a claim's record has no part of an answer, a request without any deadline ends after 10 minutes.

Right as it was: watches of the platform's other form end when nothing was decoded within mirror.quiet_limit; load reports and probes have a timeout and stop at their size.

--- a/cacheevent/reader.go
+++ b/cacheevent/reader.go
@@ -12,6 +12,8 @@
 //  3. A stream whose connection broke continues at the event after the last one read.
 //  4. All streams of an instance have equal shares, so that one with many events does
 //     not reduce the bandwidth of the others.
+//  5. A stream whose header, or one of whose events, is not complete in time is
+//     closed: it would otherwise look like an engine without events.
 package cacheevent
 
 import (
@@ -90,6 +92,9 @@
 	maxBackoff = 10 * time.Second
 )
 
+// errStreamEnded is returned for a stream that the engine ended.
+var errStreamEnded = errors.New("stream ended")
+
 // Reader reads the event stream of one engine.
 type Reader struct {
 	// Client makes the requests. It must have no overall timeout, which would end
@@ -101,6 +106,9 @@
 	Budget *rate.Limiter
 	// OnEvent receives the events in order. It must not block.
 	OnEvent func(Event)
+	// OnFailure receives the error that ended a stream, unless rule 1 or the end of
+	// Run did; may be nil.
+	OnFailure func(error)
 
 	// nextID is the ID of the event after the last one read. It is valid if haveNext
 	// is set.
@@ -127,6 +135,9 @@
 			_ = waitForBurst(ctx, r.Budget)
 			continue
 		}
+		if ctx.Err() == nil && r.OnFailure != nil {
+			r.OnFailure(err)
+		}
 		_ = delay.For(ctx, retry.NextBackOff())
 	}
 	return ctx.Err()
@@ -135,9 +146,16 @@
 // readStream opens the stream, at the newest event or at nextID, and reads it until it
 // ends. It returns errBudgetExhausted if that was by rule 1.
 func (r *Reader) readStream(ctx context.Context, fromNewest bool) (err error) {
-	defer func() { err = errors.Wrapf(err, "cache events of %s", r.Endpoint.ID) }()
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer func() {
+		if err != nil && ctx.Err() != nil {
+			err = context.Cause(ctx)
+		}
+		err = errors.Wrapf(err, "cache events of %s", r.Endpoint.ID)
+		cancel(nil)
+	}()
+	events := newTimedBody(cancel)
+	defer events.stop()
 	url := fmt.Sprintf("http://%s/cache_events", r.Endpoint.Address)
 	if !fromNewest {
 		url += fmt.Sprintf("?from=%d", r.nextID)
@@ -155,11 +173,15 @@
 	if res.StatusCode != http.StatusOK {
 		return errors.Newf("status %d", res.StatusCode)
 	}
-	body := &meteredBody{r: res.Body, budget: r.Budget, cancel: cancel}
+	events.headerRead(res.Body)
+	body := &meteredBody{r: events, budget: r.Budget, cancel: func() { cancel(errBudgetExhausted) }}
 	defer body.stopTimer()
 	err = r.readEvents(body)
-	if body.exhausted {
+	switch {
+	case body.exhausted:
 		return errBudgetExhausted
+	case err == nil:
+		return errStreamEnded
 	}
 	return err
 }
--- a/cacheevent/readers.go
+++ b/cacheevent/readers.go
@@ -24,6 +24,9 @@
 	// OnEvent receives the events of all endpoints. It is called concurrently, and
 	// must not block.
 	OnEvent func(hbs.EndpointID, Event)
+	// OnFailure receives the errors that ended streams, and is called like OnEvent;
+	// may be nil.
+	OnFailure func(hbs.EndpointID, error)
 }
 
 // activeReader is what reconcile needs to adjust or stop a running Reader.
@@ -79,6 +82,9 @@
 		budget := rate.NewLimiter(share, burstFor(share))
 		active[id] = activeReader{endpoint: e, budget: budget, cancel: cancel}
 		reader := &Reader{Client: client, Endpoint: e, Budget: budget, OnEvent: func(ev Event) { r.OnEvent(id, ev) }}
+		if r.OnFailure != nil {
+			reader.OnFailure = func(err error) { r.OnFailure(id, err) }
+		}
 		wg.Go(func() {
 			defer cancel()
 			_ = reader.Run(rctx)
--- a/claim/claim.go
+++ b/claim/claim.go
@@ -176,7 +176,7 @@
 }
 
 // omitLargeResponse returns r, without header and body if these are larger than
-// limit bytes.
+// limit bytes or r has only a part of them.
 func (r Record) omitLargeResponse(limit int) Record {
 	size := len(r.Body)
 	for name, values := range r.Header {
@@ -185,7 +185,7 @@
 			size += len(v)
 		}
 	}
-	if size <= limit {
+	if size <= limit && !r.Omitted {
 		return r
 	}
 	r.Header, r.Body, r.Omitted = nil, nil, true
--- a/claim/store_test.go
+++ b/claim/store_test.go
@@ -256,6 +256,18 @@
 		})
 	})
 
+	It("omits a body of which only a part is known", func() {
+		withInstances(1, func(g Gomega, h *history) {
+			ticket, _, err := h.begin(0)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(ticket.Open(context.Background())).To(Succeed())
+			g.Expect(ticket.Finish(context.Background(), claim.Record{Status: 200, Body: []byte("part"), Omitted: true})).To(Succeed())
+			_, record, _ := h.begin(0)
+			g.Expect(record.Omitted).To(BeTrue())
+			g.Expect(record.Body).To(BeEmpty())
+		})
+	})
+
 	It("needs three writes, no read and a later removal per request", func() {
 		withInstances(1, func(g Gomega, h *history) {
 			ticket, _, _ := h.begin(0)
--- a/console/console_test.go
+++ b/console/console_test.go
@@ -31,6 +31,7 @@
 	"github.com/hornbeamstage/hornbeamstage/peer"
 	"github.com/hornbeamstage/hornbeamstage/router"
 	"github.com/hornbeamstage/hornbeamstage/standin/authority"
+	"github.com/hornbeamstage/hornbeamstage/standin/endless"
 	"github.com/hornbeamstage/hornbeamstage/standin/memnet"
 	"github.com/hornbeamstage/hornbeamstage/standin/platform"
 )
@@ -162,6 +163,18 @@
 		})
 	})
 
+	It("names an instance whose answer never ends", func() {
+		inBubble(func(h *harness) {
+			h.registerInstances("i-1", "unreachable")
+			bad := &endless.Server{Address: netip.MustParseAddrPort("10.0.0.9:80"), Network: h.fabric.Network("a"),
+				Response: endless.Body("200 OK", "", " "), Rate: endless.Rate{Bytes: 1 << 20, Interval: time.Millisecond}}
+			h.wg.Go(func() { _ = bad.Run(h.ctx) })
+			out, exit := h.run("status")
+			h.Expect(exit).To(Equal(console.ExitPartial), out)
+			h.Expect(out).To(ContainSubstring(network.ErrTooLong.Error()))
+		})
+	})
+
 	It("applies a file, prints it with get and shows differences with diff", func() {
 		inBubble(func(h *harness) {
 			out, exit := h.run("apply", h.configFile(oneWorkspace))
--- a/console/instances.go
+++ b/console/instances.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -15,6 +14,7 @@
 
 	hbs "github.com/hornbeamstage/hornbeamstage"
 	"github.com/hornbeamstage/hornbeamstage/mirror"
+	"github.com/hornbeamstage/hornbeamstage/network"
 )
 
 const (
@@ -22,7 +22,7 @@
 	queryTimeout = 2 * time.Second
 	// maxConcurrentQueries limits how many instances are queried at the same time.
 	maxConcurrentQueries = 32
-	// maxResponseBytes truncates a longer response body.
+	// maxResponseBytes bounds a response body.
 	maxResponseBytes = 16 << 20
 )
 
@@ -119,7 +119,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, errors.Newf("answered %d", resp.StatusCode)
 	}
-	return io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	return network.ReadBody(resp.Body, maxResponseBytes)
 }
 
 // partialError returns the error of a report that lacks the missing instances, or
--- a/converge/limiter_test.go
+++ b/converge/limiter_test.go
@@ -10,7 +10,11 @@
 	hbs "github.com/hornbeamstage/hornbeamstage"
 )
 
+// suite is the test that runs the specs; synctest bubbles need it.
+var suite *testing.T
+
 func TestConverge(t *testing.T) {
+	suite = t
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "converge")
 }
--- a/converge/step.go
+++ b/converge/step.go
@@ -167,6 +167,8 @@
 // report reads the engine's report.
 func (s *step) report(ctx context.Context) (r platform.EngineReport, err error) {
 	defer func() { err = errors.Wrap(err, "read report") }()
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	c := s.call(http.MethodGet, platform.ReportPath, nil, order.Unguarded)
 	status, body, err := c.Do(ctx)
 	if err != nil {
@@ -194,12 +196,15 @@
 		}
 		return use.Write(write)
 	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	c := s.call(http.MethodPost, platform.OrderPath, body, guard)
 	status, _, err := c.Do(ctx)
-	if err != nil {
+	if status == 0 {
 		return platform.OrderUnknown, err
 	}
-	return platform.VerdictOf(status), nil
+	// The status alone is the answer, also if the body can't be read.
+	return platform.VerdictOf(status), err
 }
 
 func (s *step) call(method, path string, body []byte, guard order.Guard) order.Call {
--- a/gateway/cacheevents.go
+++ b/gateway/cacheevents.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
@@ -210,7 +209,7 @@
 		return p, err
 	}
 	defer res.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxCachePageBytes))
+	body, err := network.ReadBody(res.Body, maxCachePageBytes)
 	switch {
 	case err != nil:
 		return p, err
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"strings"
@@ -145,16 +146,14 @@
 }
 
 // deadline returns when the request ends: at the caller's deadline or the
-// route's timeout, whichever is earlier. It is zero if there is neither.
-func (x *exchange) deadline() (at time.Time) {
+// route's timeout, whichever is earlier, or after defaultTimeout if there is
+// neither.
+func (x *exchange) deadline() time.Time {
 	wait := x.params.Deadline
 	if r := x.route.Timeout; r > 0 && (wait == 0 || r < wait) {
 		wait = r
 	}
-	if wait == 0 {
-		return at
-	}
-	return x.req.Arrived.Add(wait)
+	return x.req.Arrived.Add(cmp.Or(wait, defaultTimeout))
 }
 
 func priorityOf(rank int) hbs.Priority {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -47,6 +47,8 @@
 	settleTime = 500 * time.Millisecond
 	revokeTime = 5 * time.Second
 	graceTime  = 8 * time.Second
+	// routeTimeout is the timeout of all routes.
+	routeTimeout = 5 * time.Second
 	// convergeTime is the time in which engines have to load new weights.
 	convergeTime = 15 * time.Second
 	// takeoverTime is the longest time from the end of a lease holder to the
@@ -204,10 +206,15 @@
 // 4 attempts for a stream, which can be resumed; stream-once allows one attempt.
 // Routes write (not idempotent) and read (idempotent) lead to the plain service.
 func (f *fleet) publishRoutes(version int, keys ...string) {
+	f.publishRoutesWithTimeout(version, routeTimeout, keys...)
+}
+
+// publishRoutesWithTimeout is like publishRoutes, with another timeout of all routes.
+func (f *fleet) publishRoutesWithTimeout(version int, timeout time.Duration, keys ...string) {
 	route := func(name, kind, service string, attempts int, resumable bool) map[string]any {
 		return map[string]any{
 			"name": name, "host": "h.example", "path-prefix": "/" + name + "/", "kind": kind, "service": service,
-			"timeout-ms": 5000, "max-attempts": attempts, "resumable": resumable,
+			"timeout-ms": timeout.Milliseconds(), "max-attempts": attempts, "resumable": resumable,
 		}
 	}
 	f.Expect(f.store.Put(platform.KindConfig, platform.ConfigName, map[string]any{
@@ -275,6 +282,9 @@
 	}
 	for name, value := range c.header {
 		q.Header.Set(name, value)
+		if value == "" {
+			q.Header.Del(name)
+		}
 	}
 	res, err := f.client.Do(q)
 	if err != nil {
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -21,6 +21,9 @@
 	writeTimeout = 10 * time.Second
 	// bodyTimeout bounds reading the body of a request that has no deadline.
 	bodyTimeout = 30 * time.Second
+	// defaultTimeout bounds a request whose caller and route set no bound. Without
+	// one, an endpoint that never ends its response would hold the request forever.
+	defaultTimeout = 10 * time.Minute
 	// startingRetryAfter is the Retry-After of an instance that has no route
 	// table, or one that may be stale.
 	startingRetryAfter = 500 * time.Millisecond
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -176,7 +175,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return errors.Newf("unexpected status %d", resp.StatusCode)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxStateBody))
+	body, err := network.ReadBody(resp.Body, maxStateBody)
 	if err != nil {
 		return err
 	}
--- a/order/call.go
+++ b/order/call.go
@@ -3,12 +3,12 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
 
 	hbs "github.com/hornbeamstage/hornbeamstage"
+	"github.com/hornbeamstage/hornbeamstage/network"
 )
 
 // maxStateBytes is the maximum number of bytes read of an engine's response.
@@ -31,7 +31,8 @@
 	Guard Guard
 }
 
-// Do sends the request and returns the status and body of the response.
+// Do sends the request and returns the status and body of the response. If only
+// the body can't be read, the status is returned with the error.
 func (c *Call) Do(ctx context.Context) (status int, body []byte, err error) {
 	req, err := http.NewRequestWithContext(ctx, c.Method, "http://"+c.Address.String()+c.Path, bytes.NewReader(c.Body))
 	if err != nil {
@@ -41,25 +42,35 @@
 		req.Header = c.Header.Clone()
 	}
 	req.Header.Set("Content-Type", "application/json")
-	transport := &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
-		conn, err := c.Network.Dial(ctx, c.Address)
-		if err != nil {
-			return nil, err
-		}
-		return &guardedConn{Conn: conn, guard: c.Guard}, nil
-	}}
+	transport := network.Transport(guardedNetwork{c.Network, c.Guard})
+	transport.DisableKeepAlives = true
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
 		return 0, nil, err
 	}
 	defer resp.Body.Close()
-	body, err = io.ReadAll(io.LimitReader(resp.Body, maxStateBytes))
+	body, err = network.ReadBody(resp.Body, maxStateBytes)
 	return resp.StatusCode, body, err
 }
 
 // Unguarded is a Guard that allows every write.
 func Unguarded(write func() (int, error)) (int, error) { return write() }
 
+// guardedNetwork is a network whose connections pass each write through a guard.
+type guardedNetwork struct {
+	hbs.Network
+	guard Guard
+}
+
+// Dial implements hornbeamstage.Network.
+func (n guardedNetwork) Dial(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+	conn, err := n.Network.Dial(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	return &guardedConn{Conn: conn, guard: n.guard}, nil
+}
+
 // guardedConn is a connection that passes each write through a guard.
 type guardedConn struct {
 	net.Conn
--- a/peer/conns.go
+++ b/peer/conns.go
@@ -12,6 +12,8 @@
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/hornbeamstage/hornbeamstage/network"
 )
 
 // connectTimeout bounds one connection attempt; the round trip to a peer takes
@@ -57,6 +59,7 @@
 			return c.server.Network.Dial(ctx, addr)
 		}),
 		grpc.WithDefaultCallOptions(grpc.ForceCodec(Codec{}), grpc.MaxCallRecvMsgSize(maxMessageBytes)),
+		grpc.WithMaxHeaderListSize(network.MaxHeaderBytes),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: time.Second},
 			MinConnectTimeout: connectTimeout,
--- a/peer/server.go
+++ b/peer/server.go
@@ -18,6 +18,7 @@
 
 	hbs "github.com/hornbeamstage/hornbeamstage"
 	"github.com/hornbeamstage/hornbeamstage/mirror"
+	"github.com/hornbeamstage/hornbeamstage/network"
 )
 
 // Server exchanges heartbeats, digests and updates with other instances.
@@ -148,6 +149,7 @@
 	options := []grpc.ServerOption{
 		grpc.ForceServerCodec(Codec{}),
 		grpc.MaxRecvMsgSize(maxMessageBytes),
+		grpc.MaxHeaderListSize(network.MaxHeaderBytes),
 		grpc.InitialWindowSize(windowBytes),
 		grpc.InitialConnWindowSize(windowBytes),
 		grpc.UnaryInterceptor(checkUnary),
--- a/placement/background.go
+++ b/placement/background.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sourcegraph/conc/pool"
+	"go.uber.org/zap"
 
 	hbs "github.com/hornbeamstage/hornbeamstage"
 	"github.com/hornbeamstage/hornbeamstage/cacheevent"
@@ -43,6 +44,7 @@
 		Changed:        p.Directory.Changed,
 		BytesPerSecond: p.Policy.Number(keyEventBytes, hbs.Scope{Domain: p.Self.Domain}),
 		OnEvent:        p.onEvent,
+		OnFailure:      p.onEventFailure,
 	}
 	tasks := pool.New().WithContext(ctx).WithCancelOnError()
 	tasks.Go(poller.Run)
@@ -165,6 +167,12 @@
 	p.reports.add(m, count, at)
 }
 
+// onEventFailure counts and logs a stream of cache events that ended.
+func (p *Placer) onEventFailure(id hbs.EndpointID, err error) {
+	p.meters.eventErrors.Inc(1)
+	p.Log.Warn("cache events interrupted", zap.String("endpoint", string(id)), zap.Error(err))
+}
+
 // onEvent applies a cache event.
 func (p *Placer) onEvent(id hbs.EndpointID, e cacheevent.Event) {
 	p.mu.Lock()
--- a/placement/meters.go
+++ b/placement/meters.go
@@ -23,6 +23,7 @@
 	{Name: "placement_lives", Kind: hbs.MeterCounter, Unit: hbs.UnitCount, Title: "restarts and changes of weights of endpoints", Action: "Many without a rollout: engines crash."},
 	{Name: "load_report_errors", Kind: hbs.MeterCounter, Unit: hbs.UnitCount, Title: "load reports that could not be read", Action: "Check the endpoints' /load; placement then counts only the outstanding work of the instance and its peers."},
 	{Name: "cache_events", Kind: hbs.MeterCounter, Unit: hbs.UnitCount, Title: "cache events applied", Action: "None."},
+	{Name: "cache_event_errors", Kind: hbs.MeterCounter, Unit: hbs.UnitCount, Title: "streams of cache events that ended or could not be opened", Action: "Look for the log line cache events interrupted, which has the endpoint and the error; beliefs of that endpoint are less exact until the stream is back."},
 	{Name: "cache_event_gaps", Kind: hbs.MeterCounter, Unit: hbs.UnitCount, Title: "gaps in streams of cache events, which were lost or skipped to stay within the byte budget", Action: "None under load. If placement_missed_tokens grows too, raise placement.event_bytes."},
 }
 
@@ -31,6 +32,7 @@
 	decisions, spills, full, noEndpoint     metrics.Counter
 	prompt, cached, missed                  metrics.Counter
 	generations, reportErrors, events, gaps metrics.Counter
+	eventErrors                             metrics.Counter
 	loads, loadMisses, storeRequests        metrics.Counter
 	beliefs, ejected                        metrics.Gauge
 }
@@ -54,6 +56,7 @@
 		storeRequests: counter("placement_keeps"),
 		reportErrors:  counter("load_report_errors"),
 		events:        counter("cache_events"),
+		eventErrors:   counter("cache_event_errors"),
 		gaps:          counter("cache_event_gaps"),
 		beliefs:       metrics.GetOrRegisterGauge("placement_beliefs", r),
 		ejected:       metrics.GetOrRegisterGauge("placement_ejected", r),
--- a/standin/endless/endless.go
+++ b/standin/endless/endless.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"net/netip"
 	"strings"
 	"sync"
@@ -106,20 +107,37 @@
 	if _, err := conn.Read(make([]byte, 1)); err != nil {
 		return
 	}
-	if _, err := conn.Write([]byte(s.Response.Start)); err != nil {
+	s.Response.send(ctx, conn, s.Rate, func(n int) { s.add(n, 0) })
+}
+
+// send sends the response until the client closes conn or ctx ends. It calls sent
+// with the bytes of each send after Start.
+func (r Response) send(ctx context.Context, conn net.Conn, rate Rate, sent func(int)) {
+	if _, err := conn.Write([]byte(r.Start)); err != nil {
 		return
 	}
-	repeat := s.Response.Repeat
-	text := strings.Repeat(repeat, 2+s.Rate.Bytes/len(repeat))
-	for at := 0; ; at = (at + s.Rate.Bytes) % len(repeat) {
-		n, err := conn.Write([]byte(text[at : at+s.Rate.Bytes]))
-		s.add(n, 0)
-		if err != nil || delay.For(ctx, s.Rate.Interval) != nil {
+	text := strings.Repeat(r.Repeat, 2+rate.Bytes/len(r.Repeat))
+	for at := 0; ; at = (at + rate.Bytes) % len(r.Repeat) {
+		n, err := conn.Write([]byte(text[at : at+rate.Bytes]))
+		sent(n)
+		if err != nil || delay.For(ctx, rate.Interval) != nil {
 			return
 		}
 	}
 }
 
+// Serve sends the response to a request that another stand-in has received, until
+// the client closes the connection.
+func (r Response) Serve(w http.ResponseWriter, q *http.Request, rate Rate) error {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return errors.Wrap(err, "endless response")
+	}
+	defer func() { _ = conn.Close() }()
+	r.send(q.Context(), conn, rate, func(int) {})
+	return nil
+}
+
 // add counts bytes and connections.
 func (s *Server) add(sent, open int) {
 	s.mu.Lock()
--- a/standin/pool/pool.go
+++ b/standin/pool/pool.go
@@ -19,6 +19,7 @@
 
 	hbs "github.com/hornbeamstage/hornbeamstage"
 	"github.com/hornbeamstage/hornbeamstage/delay"
+	"github.com/hornbeamstage/hornbeamstage/standin/endless"
 )
 
 // Run is the record of one request that the endpoint executed.
@@ -46,6 +47,10 @@
 	DropOrderAnswer bool
 	// Busy refuses orders as if another one were in progress.
 	Busy bool
+	// Endless, if not nil, answers every request, order and poll in place of the
+	// endpoint, at EndlessRate.
+	Endless     *endless.Response
+	EndlessRate endless.Rate
 }
 
 // Endpoint is one simulated endpoint. Exported fields are set before Serve.
@@ -199,7 +204,7 @@
 	m.HandleFunc("POST /v1/order", e.serveOrder)
 	m.HandleFunc("GET /v1/kv-events", e.serveCacheEvents)
 	m.HandleFunc("/", e.serveRequest)
-	srv := &http.Server{Handler: m}
+	srv := &http.Server{Handler: e.orEndless(m)}
 	var wg conc.WaitGroup
 	wg.Go(func() { _ = srv.Serve(l) })
 	<-ctx.Done()
@@ -208,6 +213,22 @@
 	return ctx.Err()
 }
 
+// orEndless returns a handler that passes calls to h unless Faults.Endless is set.
+func (e *Endpoint) orEndless(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.mu.Lock()
+		f := e.faults
+		e.mu.Unlock()
+		if f.Endless == nil {
+			h.ServeHTTP(w, r)
+			return
+		}
+		if err := f.Endless.Serve(w, r, f.EndlessRate); err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+		}
+	})
+}
+
 func (e *Endpoint) serveReport(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	r := e.report()
