placement, forward, attempt: an attempt that its deadline ends counts against a silent endpoint

Cause: an attempt ended by its deadline was reported as canceled, as if the caller had left, and told nothing of the endpoint.

Change: such an attempt ends as expired. Without a first token, and only if that was overdue (more than twice the predicted time and 100 ms), it counts as failed; after three in a row the endpoint is paused for as long as the last one took, 5 s at most. membership probes the endpoint. A long error response to a request that may run again is not passed on but fails the attempt, so that another endpoint is tried. The stand-in of an endpoint answers everything without an end on request.

--- a/attempt/dispatch.go
+++ b/attempt/dispatch.go
@@ -127,7 +127,7 @@
 	defer func() { _ = res.Body.Close() }()
 	r.handleResponse(ctx, res)
 	switch r.result.End {
-	case hbs.EndCanceled, hbs.EndBroken:
+	case hbs.EndCanceled, hbs.EndExpired, hbs.EndBroken:
 		_ = conn.Close()
 		r.cancelStream(ctx)
 	}
@@ -187,7 +187,7 @@
 	refusal := &hbs.Refusal{Outcome: hbs.OutcomeUnknown, Reason: hbs.ReasonBroken, Detail: err.Error()}
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		r.result.End = hbs.EndCanceled
+		r.result.End = hbs.EndExpired
 		refusal.Reason = hbs.ReasonExpired
 	case ctx.Err() != nil, errors.Is(err, errCallerLeft):
 		r.result.End = hbs.EndCanceled
--- a/attempt/endless_test.go
+++ b/attempt/endless_test.go
@@ -104,7 +104,7 @@
 
 	It("ends with the request if its body arrives slowly", func() {
 		r := runEndless(hbs.KindService, endless.Body("200 OK", "", "x"), endless.Drips)
-		Expect(r.End).To(Equal(hbs.EndCanceled))
+		Expect(r.End).To(Equal(hbs.EndExpired))
 		Expect(r.Refusal.Reason).To(Equal(hbs.ReasonExpired))
 		Expect(r.Took).To(Equal(requestTime))
 		Expect(r.Open).To(BeZero())
--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -46,10 +46,15 @@
 }
 
 // runEndless runs one attempt of a repeatable request at a server.
-func runEndless(s *Sender, r endless.Response, rate endless.Rate) (out testRun) {
+func runEndless(s *Sender, r endless.Response, rate endless.Rate) testRun {
+	return runClass(hbs.ClassRepeatable, s, r, rate)
+}
+
+// runClass is like runEndless, for a request of another class.
+func runClass(class hbs.RouteClass, s *Sender, r endless.Response, rate endless.Rate) (out testRun) {
 	out.Played = endless.Play(suite, r, rate, func(ctx context.Context, n hbs.Network, server netip.AddrPort) {
 		s.Network, s.Policy, s.Metrics = n, knob.NewFixed(attempt.Knobs), metrics.NewRegistry()
-		req := &hbs.Request{ID: "r1", Class: hbs.ClassRepeatable, Method: http.MethodGet, Path: "/x", Header: http.Header{}, Deadline: time.Now().Add(requestTime)}
+		req := &hbs.Request{ID: "r1", Class: class, Method: http.MethodGet, Path: "/x", Header: http.Header{}, Deadline: time.Now().Add(requestTime)}
 		ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 		defer cancel()
 		out.Result = s.Run(ctx, &attempt.Call{Request: req, Sink: &out.sink, Placement: &hbs.Placement{Endpoint: hbs.Endpoint{Address: server}}})
@@ -81,10 +86,18 @@
 		})
 	}
 
-	It("counts as failed, not complete, if its status is an error", func() {
+	It("counts as failed, and can be retried, if its status is an error", func() {
 		r := runEndless(&Sender{}, endless.Body("500 Internal Server Error", ownHeader, "x"), endless.Fast)
-		Expect(r.End).NotTo(Equal(hbs.EndComplete))
-		Expect(r.Refusal).NotTo(BeNil())
+		Expect(r.End).To(Equal(hbs.EndFailed))
+		Expect(r.Refusal.Outcome).To(Equal(hbs.OutcomeFailed))
+		Expect(r.sink).To(Equal(countingSink{}))
+		Expect(r.Open).To(BeZero())
+	})
+
+	It("is broken off, not complete, if its status is an error and the request must not run again", func() {
+		r := runClass(hbs.ClassOnce, &Sender{}, endless.Body("500 Internal Server Error", ownHeader, "x"), endless.Fast)
+		Expect(r.End).To(Equal(hbs.EndBroken))
+		Expect(r.Refusal.Outcome).To(Equal(hbs.OutcomeUnknown))
 		Expect(r.Open).To(BeZero())
 	})
 
@@ -104,7 +117,7 @@
 
 	It("ends with the request if its body arrives slowly", func() {
 		r := runEndless(&Sender{}, endless.Body("200 OK", ownHeader, "x"), endless.Drips)
-		Expect(r.End).To(Equal(hbs.EndCanceled))
+		Expect(r.End).To(Equal(hbs.EndExpired))
 		Expect(r.Refusal.Reason).To(Equal(hbs.ReasonExpired))
 		Expect(r.Took).To(Equal(requestTime))
 		Expect(r.Open).To(BeZero())
@@ -156,11 +169,11 @@
 	})
 })
 
-var _ = It("passes an error response on that is too long to be buffered, and counts it as failed", func() {
+var _ = It("passes an error response on that is too long to be buffered if the request must not run again", func() {
 	length := 2 << 20
 	head := "Content-Length: " + strconv.Itoa(length) + "\r\n" + ownHeader
 	body := endless.Response{Start: "HTTP/1.1 500 Internal Server Error\r\n" + head + "\r\n" + strings.Repeat("x", length), Repeat: "y"}
-	r := runEndless(&Sender{}, body, endless.Drips)
+	r := runClass(hbs.ClassOnce, &Sender{}, body, endless.Drips)
 	Expect(r.sink).To(Equal(countingSink{status: http.StatusInternalServerError, bytes: length}))
 	Expect(r.End).To(Equal(hbs.EndFailed))
 	Expect(r.Open).To(BeZero())
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -236,9 +236,14 @@
 		return
 	}
 	r.recordFirstToken()
-	if res.StatusCode >= 400 && whole {
+	switch {
+	case res.StatusCode >= 400 && whole:
 		r.bufferError(res, data)
 		return
+	case res.StatusCode >= 500 && r.Request.Class == hbs.ClassRepeatable:
+		// Another endpoint may do better, but only if the caller got nothing.
+		r.endFailed(http.StatusText(res.StatusCode) + ": response is too long to be buffered")
+		return
 	}
 	if err := r.passBody(res, io.MultiReader(bytes.NewReader(data), res.Body)); err != nil {
 		r.failBroken(ctx, err)
@@ -256,8 +261,13 @@
 	h := responseHeader(res.Header)
 	h.Del("Content-Length")
 	r.result.BufferedError = &attempt.ErrorResponse{Status: res.StatusCode, Header: h, Body: body}
+	r.endFailed(http.StatusText(res.StatusCode))
+}
+
+// endFailed records that the endpoint answered with an error.
+func (r *run) endFailed(detail string) {
 	r.result.End = hbs.EndFailed
-	r.result.Refusal = &hbs.Refusal{Outcome: hbs.OutcomeFailed, Reason: hbs.ReasonEndpointError, Detail: http.StatusText(res.StatusCode)}
+	r.result.Refusal = &hbs.Refusal{Outcome: hbs.OutcomeFailed, Reason: hbs.ReasonEndpointError, Detail: detail}
 }
 
 // passBody passes a response with the given body on.
@@ -341,6 +351,7 @@
 	r.result.End = hbs.EndCanceled
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		r.result.End = hbs.EndExpired
 		refusal.Reason = hbs.ReasonExpired
 	case ctx.Err() != nil, errors.Is(err, errCallerLeft), errors.Is(err, errLostRace):
 		refusal.Reason = hbs.ReasonCanceled
--- a/membership/directory.go
+++ b/membership/directory.go
@@ -6,9 +6,10 @@
 //  1. The platform's list (mirrored objects) says which endpoints exist. It may
 //     be out of date, so a listed endpoint is not assumed to be reachable.
 //  2. An attempt that could not connect to its endpoint marks the endpoint
-//     suspect at once. An attempt whose connection broke midway, or a peer's
-//     report, triggers an immediate probe, and the endpoint becomes suspect if
-//     the probe fails. Suspect endpoints get no new work.
+//     suspect at once. An attempt whose connection broke midway or whose
+//     deadline passed without a first token, or a peer's report, triggers an
+//     immediate probe, and the endpoint becomes suspect if the probe fails.
+//     Suspect endpoints get no new work.
 //  3. A suspect endpoint is probed with exponential backoff until it answers. It
 //     is not removed while it is on the list.
 //  4. The most recently reported incarnation and weights apply, whether the list
--- a/membership/report.go
+++ b/membership/report.go
@@ -11,10 +11,10 @@
 // Report applies the result of an attempt (rules 2 and 4). It does not block.
 func (d *Directory) Report(id hbs.EndpointID, r hbs.AttemptResult) {
 	d.init()
-	switch r.End {
-	case hbs.EndUnreached:
+	switch {
+	case r.End == hbs.EndUnreached:
 		d.markUnreachable(id)
-	case hbs.EndBroken:
+	case r.End == hbs.EndBroken, r.End == hbs.EndExpired && r.FirstToken <= 0:
 		d.requestProbe(id)
 	default:
 		d.observations.recordAnswer(id, r.Incarnation, r.Weights)
--- a/placement.go
+++ b/placement.go
@@ -73,6 +73,9 @@
 	// EndBroken means that the connection was lost before the response was complete,
 	// or that the response belonged to another attempt.
 	EndBroken AttemptEnd = "broken"
+	// EndExpired means that the request was sent and its deadline passed before the
+	// response was complete.
+	EndExpired AttemptEnd = "expired"
 	// EndCanceled means that the router abandoned the attempt, for example because the
 	// caller disconnected or another attempt of a hedged request won.
 	EndCanceled AttemptEnd = "canceled"
--- a/placement/attempt.go
+++ b/placement/attempt.go
@@ -154,7 +154,7 @@
 	now := time.Now()
 	m := a.member
 	m.ledger.Finish(&a.load, now)
-	p.recordOutcome(m, &r, now)
+	p.recordOutcome(m, a, &r, now)
 	if p.members[m.rec.ID] != m {
 		return
 	}
@@ -169,7 +169,7 @@
 }
 
 // recordOutcome pauses an endpoint on which attempts fail (rule 8).
-func (p *Placer) recordOutcome(m *member, r *hbs.AttemptResult, now time.Time) {
+func (p *Placer) recordOutcome(m *member, a *placedAttempt, r *hbs.AttemptResult, now time.Time) {
 	switch r.End {
 	case hbs.EndComplete:
 		m.recordSuccess()
@@ -179,6 +179,10 @@
 		m.recordRefusal(now)
 	case hbs.EndFailed, hbs.EndBroken:
 		m.recordFailure(now)
+	case hbs.EndExpired:
+		if r.FirstToken <= 0 && isOverdue(&a.load, r.Duration) {
+			m.recordSilence(r.Duration, now)
+		}
 	}
 }
 
--- a/placement/group.go
+++ b/placement/group.go
@@ -4,6 +4,7 @@
 	"time"
 
 	hbs "github.com/hornbeamstage/hornbeamstage"
+	"github.com/hornbeamstage/hornbeamstage/load"
 	"github.com/hornbeamstage/hornbeamstage/straggler"
 )
 
@@ -77,12 +78,18 @@
 	straggler.Evaluate(g.scores, now)
 }
 
+// isOverdue reports whether the first token of an attempt that has run for elapsed
+// is overdue.
+func isOverdue(a *load.Attempt, elapsed time.Duration) bool {
+	return elapsed > overdueFactor*a.Expected+overdueSlack
+}
+
 // overdue returns the largest ratio of elapsed to predicted time among the
 // overdue attempts on m, or 0 when none is overdue.
 func (m *member) overdue(now time.Time) (worst float64) {
 	for a := range m.ledger.Waiting() {
 		elapsed := now.Sub(a.Started)
-		if elapsed > overdueFactor*a.Expected+overdueSlack {
+		if isOverdue(a, elapsed) {
 			worst = max(worst, straggler.Ratio(elapsed, a.Expected))
 		}
 	}
--- a/placement/member.go
+++ b/placement/member.go
@@ -157,6 +157,24 @@
 	}
 }
 
+// recordSilence counts an attempt that got nothing for the given time, until its
+// deadline, as failed. The pause is at least that time, as another attempt may cost
+// its caller as much.
+func (m *member) recordSilence(waited time.Duration, now time.Time) {
+	m.recordFailure(now)
+	if m.failures >= failureLimit {
+		m.paused = later(m.paused, now.Add(min(waited, maxPause)))
+	}
+}
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // recordRefusal pauses the endpoint for a short time after it refused an
 // attempt.
 func (m *member) recordRefusal(now time.Time) {
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -70,7 +70,7 @@
 func (p *Policy) Allow(req *hbs.Request, res *attempt.Result, tries, sent int) bool {
 	scope := ScopeOf(req)
 	switch {
-	case res.Started && res.LastEvent == "", res.End == hbs.EndComplete, res.End == hbs.EndCanceled: // rule 1
+	case res.Started && res.LastEvent == "", res.End == hbs.EndComplete, res.End == hbs.EndCanceled, res.End == hbs.EndExpired: // rule 1
 		return false
 	case tries >= int(p.Knobs.Number(KnobAttempts, scope)), req.Attempts > 0 && sent >= req.Attempts: // rule 5
 		return false
--- a/standin/endless/endless.go
+++ b/standin/endless/endless.go
@@ -127,14 +127,14 @@
 }
 
 // Serve sends the response to a request that another stand-in has received, until
-// the client closes the connection.
-func (r Response) Serve(w http.ResponseWriter, q *http.Request, rate Rate) error {
+// the client closes the connection or ctx ends.
+func (r Response) Serve(ctx context.Context, w http.ResponseWriter, rate Rate) error {
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return errors.Wrap(err, "endless response")
 	}
 	defer func() { _ = conn.Close() }()
-	r.send(q.Context(), conn, rate, func(int) {})
+	r.send(ctx, conn, rate, func(int) {})
 	return nil
 }
 
--- a/standin/pool/pool.go
+++ b/standin/pool/pool.go
@@ -204,8 +204,8 @@
 	m.HandleFunc("POST /v1/order", e.serveOrder)
 	m.HandleFunc("GET /v1/kv-events", e.serveCacheEvents)
 	m.HandleFunc("/", e.serveRequest)
-	srv := &http.Server{Handler: e.orEndless(m)}
 	var wg conc.WaitGroup
+	srv := &http.Server{Handler: e.orEndless(ctx, &wg, m)}
 	wg.Go(func() { _ = srv.Serve(l) })
 	<-ctx.Done()
 	srv.Close()
@@ -214,7 +214,8 @@
 }
 
 // orEndless returns a handler that passes calls to h unless Faults.Endless is set.
-func (e *Endpoint) orEndless(h http.Handler) http.Handler {
+// The endless responses end with ctx, and wg waits for them.
+func (e *Endpoint) orEndless(ctx context.Context, wg *conc.WaitGroup, h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		e.mu.Lock()
 		f := e.faults
@@ -223,9 +224,14 @@
 			h.ServeHTTP(w, r)
 			return
 		}
-		if err := f.Endless.Serve(w, r, f.EndlessRate); err != nil {
-			http.Error(w, err.Error(), http.StatusInternalServerError)
-		}
+		ended := make(chan struct{})
+		wg.Go(func() {
+			defer close(ended)
+			if err := f.Endless.Serve(ctx, w, f.EndlessRate); err != nil {
+				http.Error(w, err.Error(), http.StatusInternalServerError)
+			}
+		})
+		<-ended
 	})
 }
 
