claim, permit, weights, membership, order: errors that were dropped are told

Causes and changes, each with a spec that failed before: - claim: a ticket queued after the background work had ended was neither settled nor counted; it is counted (claim_settle_dropped) and logged. - permit: a slot that can't be decoded was passed over without a line, and errors of List were dropped; the slot is logged once for each revision, failed reads are counted (permit_read_failures), with a line at their begin and end. - weights: a step dropped the error of reading an engine; it counts as failed. - membership: a slow registration could overwrite the record of a stopping instance as live, and write it again after it was withdrawn; one goroutine writes the record at a time, with the state of that moment. - order: an order of an unknown kind counted as satisfied; it is refused now. Without a spec: register and the probes shared one unsynchronised random source; the registration has its own (the race detector sees it only by chance).

--- a/claim/background.go
+++ b/claim/background.go
@@ -17,13 +17,40 @@
 // afterwards.
 func (s *Store) settleInBackground(t *Ticket) {
 	t.settleDeadline = time.Now().Add(s.duration(KnobSettleTimeout))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.settleEnded {
+		s.dropTicket(t)
+		return
+	}
 	select {
 	case s.settleQueue <- t:
 	default:
-		s.inc(meterSettleDropped)
+		s.dropTicket(t)
+	}
+}
+
+// endSettling drops the tickets that are still queued, and those that come later.
+func (s *Store) endSettling() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.settleEnded = true
+	for {
+		select {
+		case t := <-s.settleQueue:
+			s.dropTicket(t)
+		default:
+			return
+		}
 	}
 }
 
+// dropTicket counts a claim that this instance will not settle.
+func (s *Store) dropTicket(t *Ticket) {
+	s.inc(meterSettleDropped)
+	s.Log.Warn("claim not settled; its key may stay unknown until the retention ends", zap.String("name", t.object.Name))
+}
+
 // settleLoop settles queued tickets. When ctx ends it tries each ticket that is
 // still queued once more.
 func (s *Store) settleLoop(ctx context.Context) {
--- a/claim/knobs.go
+++ b/claim/knobs.go
@@ -90,7 +90,7 @@
 	{Name: meterRefusedBudget, Kind: hbs.MeterCounter, Unit: hbs.UnitCount, Title: "requests not run because the write budget was used up", Action: "Raise claim.begin_rate if the platform has spare capacity."},
 	{Name: meterLost, Kind: hbs.MeterCounter, Unit: hbs.UnitCount, Title: "claims taken over by another attempt between Begin and Open", Action: "Raise claim.hold if queues are long."},
 	{Name: meterUnsettled, Kind: hbs.MeterCounter, Unit: hbs.UnitCount, Title: "claims that could not be settled in time; their keys stay unknown", Action: "Check manually whether the requests ran."},
-	{Name: meterSettleDropped, Kind: hbs.MeterCounter, Unit: hbs.UnitCount, Title: "claims not settled because the queue was full", Action: "As for claim_unsettled."},
+	{Name: meterSettleDropped, Kind: hbs.MeterCounter, Unit: hbs.UnitCount, Title: "claims not settled because the queue was full or the instance had stopped", Action: "As for claim_unsettled."},
 	{Name: meterRemoved, Kind: hbs.MeterCounter, Unit: hbs.UnitCount, Title: "claims removed", Action: "None."},
 	{Name: meterListingsExpired, Kind: hbs.MeterCounter, Unit: hbs.UnitCount, Title: "pages of claims whose continue token had expired",
 		Action: "A few are harmless. Growth at each collection: the platform compacts revisions faster than all claims are listed; raise claim.collect_reads."},
--- a/claim/store.go
+++ b/claim/store.go
@@ -32,8 +32,13 @@
 	health object.Health
 	budget *rate.Limiter
 	// settleQueue holds tickets whose request was answered before their claim
-	// was settled. Tickets that don't fit are counted and dropped.
+	// was settled. Tickets that don't fit, or come after Run, are counted and
+	// dropped.
 	settleQueue chan *Ticket
+
+	mu sync.Mutex
+	// settleEnded is set when nothing takes tickets from settleQueue any more.
+	settleEnded bool
 }
 
 // Request identifies a request of class once.
@@ -58,6 +63,7 @@
 	}
 	wg.Go(func() { s.collectLoop(ctx) })
 	wg.Wait()
+	s.endSettling()
 	return ctx.Err()
 }
 
--- a/claim/store_test.go
+++ b/claim/store_test.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/conc"
 	"golang.org/x/time/rate"
 
@@ -268,6 +269,19 @@
 		})
 	})
 
+	It("counts a claim that is to be settled after the background work has ended", func() {
+		withInstances(1, func(g Gomega, h *history) {
+			ticket, _, err := h.begin(0)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(ticket.Open(context.Background())).To(Succeed())
+			h.setFaults(0, objects.Plan{Fault: objects.FaultRefused}, always)
+			h.nodes[0].stop()
+			h.wg.Wait()
+			g.Expect(ticket.Finish(context.Background(), testRecord)).NotTo(Succeed())
+			g.Expect(metrics.GetOrRegisterCounter("claim_settle_dropped", h.nodes[0].store.Metrics).Count()).To(BeEquivalentTo(1))
+		})
+	})
+
 	It("needs three writes, no read and a later removal per request", func() {
 		withInstances(1, func(g Gomega, h *history) {
 			ticket, _, _ := h.begin(0)
--- a/membership/directory.go
+++ b/membership/directory.go
@@ -65,11 +65,15 @@
 	Metrics  metrics.Registry
 	Log      *zap.Logger
 	// Rand adds jitter to registrations and probes; not nil. Nothing else may use
-	// it while Run is running.
+	// it while Run is running: it belongs to the goroutine of the probes then.
 	Rand *rand.Rand
 
-	once         sync.Once
-	leaving      atomic.Bool
+	once    sync.Once
+	leaving atomic.Bool
+	// recordLock is held by the one goroutine that writes this instance's record, so
+	// that a slow registration can't undo a later change. It is a channel because its
+	// holder waits for the platform.
+	recordLock   chan struct{}
 	observations *observations
 	// The decoded records of the platform's list.
 	listedEndpoints *mirror.RecordCache[hbs.Endpoint]
@@ -94,6 +98,7 @@
 func (d *Directory) init() {
 	d.once.Do(func() {
 		d.observations = newObservations()
+		d.recordLock = make(chan struct{}, 1)
 		d.listedEndpoints = &mirror.RecordCache[hbs.Endpoint]{Set: d.Objects, Kind: d.Objects.EndpointKind(), Decode: mirror.DecodeEndpoint}
 		d.listedInstances = &mirror.RecordCache[hbs.Instance]{Set: d.Objects, Kind: hbs.ObjectInstance, Decode: mirror.DecodeInstance}
 		d.spares = &mirror.RecordCache[mirror.OtherRegions]{Set: d.Objects, Kind: mirror.SparesKind(d.Objects.Region), Decode: mirror.DecodeSpares}
@@ -129,11 +134,12 @@
 // Run updates the roster and registers this instance until ctx ends.
 func (d *Directory) Run(ctx context.Context) error {
 	d.init()
+	jitter := rand.New(rand.NewPCG(d.Rand.Uint64(), d.Rand.Uint64()))
 	tasks := pool.New().WithContext(ctx).WithCancelOnError().WithFirstError()
 	tasks.Go(d.refreshLoop)
 	tasks.Go(d.probeLoop)
 	if d.Platform != nil {
-		tasks.Go(d.register)
+		tasks.Go(func(ctx context.Context) error { return d.register(ctx, jitter) })
 		tasks.Go(d.deleteStaleRecords)
 	}
 	return tasks.Wait()
--- a/membership/register.go
+++ b/membership/register.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,31 +15,59 @@
 
 // register stores this instance's record after a random delay, so that instances
 // that start together don't all write at once. It retries until it succeeds.
-func (d *Directory) register(ctx context.Context) error {
+func (d *Directory) register(ctx context.Context, jitter *rand.Rand) error {
 	spread := d.Policy.Duration(KnobRegisterSpread, hbs.Scope{})
-	pause := time.Duration(d.Rand.Int64N(int64(spread) + 1))
+	pause := time.Duration(jitter.Int64N(int64(spread) + 1))
 	for {
 		_ = delay.For(ctx, pause)
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		err := d.storeRecord(ctx, d.Self())
+		err := d.registerOnce(ctx)
 		if err == nil {
 			break
 		}
 		d.counter(meterRegisterFailures).Inc(1)
-		pause = spread + time.Duration(d.Rand.Int64N(int64(spread)+1))
+		pause = spread + time.Duration(jitter.Int64N(int64(spread)+1))
 	}
-	d.Log.Info("instance registered", zap.String("id", string(d.Record.ID)))
 	<-ctx.Done()
 	return ctx.Err()
 }
 
+// registerOnce stores this instance's record unless the instance is stopping: Leave
+// has stored it then, and Withdraw may have deleted it since.
+func (d *Directory) registerOnce(ctx context.Context) error {
+	unlock, err := d.lockRecord(ctx)
+	if err != nil {
+		return err
+	}
+	defer unlock()
+	if d.leaving.Load() {
+		return nil
+	}
+	if err := d.storeRecord(ctx); err != nil {
+		return err
+	}
+	d.Log.Info("instance registered", zap.String("id", string(d.Record.ID)))
+	return nil
+}
+
+// lockRecord waits for recordLock until ctx ends. The caller calls unlock once.
+func (d *Directory) lockRecord(ctx context.Context) (unlock func(), err error) {
+	select {
+	case d.recordLock <- struct{}{}:
+		return func() { <-d.recordLock }, nil
+	case <-ctx.Done():
+		return nil, errors.Wrapf(ctx.Err(), "record of instance %q is being written", d.Record.ID)
+	}
+}
+
 // storeRecord overwrites any record that a previous run of this instance left. If
 // the response to a write is lost, the retry may get a conflict; repeating it is
-// safe because the record is the same.
-func (d *Directory) storeRecord(ctx context.Context, self hbs.Instance) (err error) {
-	defer func() { err = errors.Wrapf(err, "register instance %q", self.ID) }()
+// safe because the record is the same. The caller holds recordLock.
+func (d *Directory) storeRecord(ctx context.Context) (err error) {
+	defer func() { err = errors.Wrapf(err, "register instance %q", d.Record.ID) }()
+	self := d.Self()
 	value, err := json.Marshal(self)
 	if err != nil {
 		return err
@@ -66,15 +95,26 @@
 	if d.Platform == nil {
 		return nil
 	}
-	return d.storeRecord(ctx, d.Self())
+	unlock, err := d.lockRecord(ctx)
+	if err != nil {
+		return err
+	}
+	defer unlock()
+	return d.storeRecord(ctx)
 }
 
 // Withdraw deletes this instance's record, as the last step of a planned shutdown.
 func (d *Directory) Withdraw(ctx context.Context) (err error) {
+	d.init()
 	defer func() { err = errors.Wrapf(err, "withdraw instance %q", d.Record.ID) }()
 	if d.Platform == nil {
 		return nil
 	}
+	unlock, err := d.lockRecord(ctx)
+	if err != nil {
+		return err
+	}
+	defer unlock()
 	obj, err := d.Platform.Get(ctx, hbs.ObjectInstance, string(d.Record.ID))
 	if errors.Is(err, hbs.ErrNotFound) {
 		return nil
--- a/order/order.go
+++ b/order/order.go
@@ -111,7 +111,17 @@
 	case KindSetRole:
 		return s.Role == o.Role
 	}
-	return true
+	return false
+}
+
+// Validate returns an error if the kind of o is unknown. No state satisfies such an
+// order.
+func (o *Order) Validate() error {
+	switch o.Kind {
+	case KindLoadWeights, KindLoadAdapter, KindSetRole:
+		return nil
+	}
+	return errors.Newf("order of unknown kind %q", o.Kind)
 }
 
 // loading reports whether the engine is already loading the weights that o asks for.
@@ -132,6 +142,9 @@
 // error, if any.
 func (s *Sender) Ensure(ctx context.Context, e *hbs.Endpoint, o Order, allowed func() error) (err error) {
 	defer func() { err = errors.Wrapf(err, "%s at %s", o.Kind, e.ID) }()
+	if err := o.Validate(); err != nil {
+		return err
+	}
 	sent := false
 	for {
 		state, err := s.State(ctx, e)
--- a/order/order_test.go
+++ b/order/order_test.go
@@ -32,6 +32,13 @@
 	RunSpecs(t, "order")
 }
 
+var _ = It("is in no state that an order of an unknown kind asks for", func() {
+	Expect((&order.State{}).Satisfies(order.Order{Kind: "reboot"})).To(BeFalse())
+	s := order.Sender{Metrics: metrics.NewRegistry()}
+	err := s.Ensure(context.Background(), &hbs.Endpoint{ID: "e"}, order.Order{Kind: "reboot"}, func() error { return nil })
+	Expect(err).To(MatchError(ContainSubstring("unknown kind")))
+})
+
 type directory struct{ roster hbs.Roster }
 
 func (d *directory) Roster() *hbs.Roster      { return &d.roster }
--- a/permit/permit.go
+++ b/permit/permit.go
@@ -33,6 +33,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
 
 	hbs "github.com/hornbeamstage/hornbeamstage"
 	"github.com/hornbeamstage/hornbeamstage/object"
@@ -80,6 +81,8 @@
 	Self     hbs.Instance
 	Policy   hbs.Policy
 	Metrics  metrics.Registry
+	// Log may be nil.
+	Log *zap.Logger
 
 	once sync.Once
 	// searchLock is held by the one goroutine that searches for a slot. It is a
@@ -87,8 +90,12 @@
 	searchLock chan struct{}
 	// slotFreed wakes that goroutine when this process frees a slot.
 	slotFreed chan struct{}
-	// firstReads has the last revision seen of each slot; guarded by searchLock.
+	// firstReads has the last revision seen of each slot, and unreadable that of
+	// each slot that can't be decoded. listFailed is set while the slots can't be
+	// read. All are guarded by searchLock.
 	firstReads map[string]firstRead
+	unreadable map[string]hbs.Revision
+	listFailed bool
 }
 
 // firstRead is a revision of a slot and when this process first read it.
@@ -138,6 +145,7 @@
 func (p *Pool) tryAcquire(ctx context.Context, endpoint hbs.EndpointID) *Permit {
 	metrics.GetOrRegisterCounter(meterReads, p.Metrics).Inc(1)
 	objects, _, err := p.Platform.List(ctx, hbs.ObjectPermit)
+	p.recordList(ctx, err)
 	if err != nil {
 		return nil
 	}
@@ -156,13 +164,44 @@
 	return nil
 }
 
+// recordList counts a failed read of the slots, and logs the first one and the end
+// of the failures.
+func (p *Pool) recordList(ctx context.Context, err error) {
+	switch {
+	case err != nil && ctx.Err() != nil:
+	case err != nil:
+		p.inc(meterReadFailures)
+		if !p.listFailed {
+			p.Log.Warn("permits can't be read", zap.String("pool", p.Name), zap.Error(err))
+		}
+		p.listFailed = true
+	case p.listFailed:
+		p.Log.Info("permits can be read again", zap.String("pool", p.Name))
+		p.listFailed = false
+	}
+}
+
+// decodeSlot decodes a slot. It logs each revision that can't be decoded once: the
+// pool has one slot less until an operator deletes it.
+func (p *Pool) decodeSlot(obj hbs.Object) (s Slot, err error) {
+	err = json.Unmarshal(obj.Value, &s)
+	if err == nil {
+		err = s.Validate()
+	}
+	if err != nil && p.unreadable[obj.Name] != obj.Revision {
+		p.unreadable[obj.Name] = obj.Revision
+		p.Log.Error("permit slot can't be decoded", zap.String("name", obj.Name), zap.Uint64("revision", uint64(obj.Revision)), zap.Error(err))
+	}
+	return s, err
+}
+
 // canTake reports whether P3 allows to take the slot now.
 func (p *Pool) canTake(name string, obj hbs.Object) bool {
 	if obj.Revision == 0 {
 		return true
 	}
-	var s Slot
-	if err := json.Unmarshal(obj.Value, &s); err != nil || s.Validate() != nil {
+	s, err := p.decodeSlot(obj)
+	if err != nil {
 		return false
 	}
 	if s.Holder == "" {
@@ -197,6 +236,10 @@
 		p.searchLock = make(chan struct{}, 1)
 		p.slotFreed = make(chan struct{}, 1)
 		p.firstReads = map[string]firstRead{}
+		p.unreadable = map[string]hbs.Revision{}
+		if p.Log == nil {
+			p.Log = zap.NewNop()
+		}
 	})
 }
 
--- a/permit/tables.go
+++ b/permit/tables.go
@@ -31,6 +31,8 @@
 	meterNotFreed = "permit_not_freed"
 	meterWrites   = "permit_platform_writes"
 	meterReads    = "permit_platform_reads"
+
+	meterReadFailures = "permit_read_failures"
 )
 
 // Meters documents the metrics of permits.
@@ -40,4 +42,5 @@
 	{Name: meterNotFreed, Kind: hbs.MeterCounter, Unit: hbs.UnitCount, Title: "permits that could not be freed before they expire", Action: "Check the platform; the rollout waits for the expiry."},
 	{Name: meterWrites, Kind: hbs.MeterCounter, Unit: hbs.UnitCount, Title: "writes sent to the platform for permits", Action: "Compare with docs/CAPACITY.md."},
 	{Name: meterReads, Kind: hbs.MeterCounter, Unit: hbs.UnitCount, Title: "reads sent to the platform for permits", Action: "Compare with docs/CAPACITY.md."},
+	{Name: meterReadFailures, Kind: hbs.MeterCounter, Unit: hbs.UnitCount, Title: "reads of permits that failed", Action: "Check the platform; the rollout waits meanwhile."},
 }
--- a/weights/rollout.go
+++ b/weights/rollout.go
@@ -270,7 +270,7 @@
 }
 
 func (r *Rollout) newPool(name string, limit func() int) *permit.Pool {
-	return &permit.Pool{Name: name, Limit: limit, Platform: r.Platform, Self: r.Self, Policy: r.Policy, Metrics: r.Metrics}
+	return &permit.Pool{Name: name, Limit: limit, Platform: r.Platform, Self: r.Self, Policy: r.Policy, Metrics: r.Metrics, Log: r.Log}
 }
 
 func (r *Rollout) init() {
--- a/weights/step.go
+++ b/weights/step.go
@@ -20,10 +20,9 @@
 // state.
 func (r *Rollout) step(ctx context.Context, e *hbs.Endpoint, d *Desired) {
 	s, err := r.Orders.State(ctx, e)
-	if err != nil {
-		return
+	if err == nil {
+		err = r.reconcile(ctx, e, d, &s)
 	}
-	err = r.reconcile(ctx, e, d, &s)
 	if err != nil && ctx.Err() == nil && !errors.Is(err, ErrStopping) {
 		r.inc(meterFailed)
 		r.Log.Info("rollout step failed", zap.String("endpoint", string(e.ID)), zap.Error(err))
--- a/weights/weights_test.go
+++ b/weights/weights_test.go
@@ -413,6 +413,18 @@
 		})
 	})
 
+	It("counts a step at an engine whose state can't be read", func() {
+		inFleet(tambuli, func(f *fleet) {
+			f.engines[3].Crash(time.Minute)
+			time.Sleep(time.Minute)
+			failed := int64(0)
+			for _, r := range f.rollouts {
+				failed += metrics.GetOrRegisterCounter("rollout_step_failed", r.Metrics).Count()
+			}
+			f.Expect(failed).To(BeNumerically(">", 0))
+		})
+	})
+
 	It("loads adapters and publishes them in the records (R3)", func() {
 		inFleet(tambuli, func(f *fleet) {
 			f.setDesired("v1", "cowls")
