admission, placement, peer, limit: nothing is kept of what was replaced

Cause: some tables only grew: admission's queues by model and flows by workspace (callers may name models that don't exist), placement's groups and failure domains, peer's instances that are known only by a report (at 4,096 of them no further one was learned) and its failures to send, limit's notes on lenders.

Change: admission removes queues and flows without a request for 10 minutes, each time that their number has doubled; placement removes domains without endpoints and instances, and groups without endpoints for 10 minutes; peer forgets a report after 10 minutes and a failure after its window of 5 s; limit forgets lenders that left the roster. limit also answers a repeated loan request with the slots that are free (0 before), and wakes up when an excess loan ends (up to a minute late before).

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -52,6 +52,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -80,6 +81,8 @@
 
 	mu     sync.Mutex
 	queues map[queueKey]*queue
+	// pruneAt is the number of queues at which the unused ones are removed.
+	pruneAt int
 }
 
 type queueKey struct {
@@ -160,14 +163,27 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	key := queueKey{req.Model, req.Service}
+	now := time.Now()
 	q := c.queues[key]
 	if q == nil {
+		c.removeUnusedQueues(now)
 		q = newQueue(c, key)
 		c.queues[key] = q
 	}
+	q.usedAt = now
 	return q
 }
 
+// removeUnusedQueues removes unused queues each time that their number has doubled:
+// callers may name models that don't exist. The caller holds c.mu.
+func (c *Controller) removeUnusedQueues(now time.Time) {
+	if len(c.queues) < c.pruneAt {
+		return
+	}
+	maps.DeleteFunc(c.queues, func(_ queueKey, q *queue) bool { return now.Sub(q.usedAt) > unusedAfter && q.isEmpty() })
+	c.pruneAt = max(minPruneAt, 2*len(c.queues))
+}
+
 // Place blocks until req is placed or refused. The error is a *hbs.Refusal.
 func (c *Controller) Place(ctx context.Context, req *hbs.Request) (hbs.Placement, error) {
 	q := c.queue(req)
--- a/admission/flow.go
+++ b/admission/flow.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"maps"
 	"time"
 
 	hbs "github.com/hornbeamstage/hornbeamstage"
@@ -64,6 +65,8 @@
 	rank int
 	// lengthRatio is the moving average of actual over expected output tokens.
 	lengthRatio float64
+	// usedAt is the time of the last request.
+	usedAt time.Time
 }
 
 type waiterHeap []*waiter
@@ -158,6 +161,8 @@
 	// virtualTime is the start tag of the flow served last.
 	virtualTime float64
 	flows       map[hbs.WorkspaceID]*flow
+	// pruneAt is the number of flows at which the unused ones are removed.
+	pruneAt int
 	// waiting holds the flows with waiting requests.
 	waiting flowHeap
 	backlog float64
@@ -167,6 +172,20 @@
 	n int
 }
 
+// addFlow adds a flow for a workspace that has none. It removes unused flows each
+// time that their number has doubled.
+func (l *lane) addFlow(id hbs.WorkspaceID, now time.Time) *flow {
+	if len(l.flows) >= l.pruneAt {
+		maps.DeleteFunc(l.flows, func(_ hbs.WorkspaceID, f *flow) bool {
+			return f.index < 0 && now.Sub(f.usedAt) > unusedAfter
+		})
+		l.pruneAt = max(minPruneAt, 2*len(l.flows))
+	}
+	f := &flow{workspace: id, index: -1, lengthRatio: 1, rank: rankHeavy}
+	l.flows[id] = f
+	return f
+}
+
 // push adds w to its flow.
 func (l *lane) push(w *waiter) {
 	f := w.flow
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -14,6 +14,8 @@
 type queue struct {
 	c   *Controller
 	key queueKey
+	// usedAt is the time of the last request; guarded by c.mu.
+	usedAt time.Time
 
 	// mu guards the fields below.
 	mu sync.Mutex
@@ -54,6 +56,11 @@
 	// them would only delay the short work of others.
 	congestedWait    = 0.04
 	congestedRefused = 0.05
+	// unusedAfter is the time without a request after which what was learned of a
+	// workspace, model or service is removed. minPruneAt is the smallest number of
+	// entries at which that is checked.
+	unusedAfter = 10 * time.Minute
+	minPruneAt  = 64
 	// levelInterval is the minimum time between two updates of the levels.
 	levelInterval = 100 * time.Millisecond
 	// rankHeavy is the rank of workspaces above all levels. Workspaces of a lower
@@ -75,6 +82,13 @@
 	return q
 }
 
+// isEmpty reports whether no request waits. The caller must not hold q.mu.
+func (q *queue) isEmpty() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.len() == 0
+}
+
 func (q *queue) scope(req *hbs.Request) hbs.Scope {
 	return hbs.Scope{Workspace: req.Workspace, Model: req.Model, Service: req.Service}
 }
@@ -111,11 +125,12 @@
 // updated only while the flow is not waiting, as l.totalWeight includes it
 // otherwise.
 func (q *queue) flow(l *lane, w *waiter) *flow {
+	now := time.Now()
 	f := l.flows[w.req.Workspace]
 	if f == nil {
-		f = &flow{workspace: w.req.Workspace, index: -1, lengthRatio: 1, rank: rankHeavy}
-		l.flows[w.req.Workspace] = f
+		f = l.addFlow(w.req.Workspace, now)
 	}
+	f.usedAt = now
 	if f.index < 0 {
 		f.weight = q.c.weight(w.req.Workspace)
 	}
--- a/limit/borrow.go
+++ b/limit/borrow.go
@@ -286,6 +286,9 @@
 		if now.Before(a.excessRetryAt) {
 			next = min(next, a.excessRetryAt.Sub(now))
 		}
+		for _, x := range a.excessLoans {
+			next = min(next, x.ends.Sub(now))
+		}
 		for _, x := range a.borrowed {
 			if !x.idleAt.IsZero() {
 				next = min(next, x.idleAt.Add(maxIdle).Sub(now))
--- a/limit/loan.go
+++ b/limit/loan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -103,12 +104,16 @@
 	return n
 }
 
-// dropDeadLoans drops loans whose borrower or lender left the roster (rules 5
-// and 14). A borrowed slot in use remains without its lender until its request
+// dropDeadLoans drops loans whose borrower or lender left the roster, and what is
+// known of such lenders (rules 5 and 14). A borrowed slot in use remains without its lender until its request
 // ends, and counts as a slot of this instance.
 func (l *Limiter) dropDeadLoans() {
 	e := l.current()
+	gone := func(id hbs.InstanceID) bool { return e.instance(id).ID == "" }
+	maps.DeleteFunc(l.unreachableUntil, func(id hbs.InstanceID, _ time.Time) bool { return gone(id) })
 	for _, a := range l.accounts {
+		maps.DeleteFunc(a.deniedUntil, func(id hbs.InstanceID, _ time.Time) bool { return gone(id) })
+		maps.DeleteFunc(a.available, func(id hbs.InstanceID, _ int) bool { return gone(id) })
 		for key := range a.lent {
 			if !e.contains(key.borrower, key.incarnation) {
 				delete(a.lent, key)
@@ -157,9 +162,6 @@
 		a.endLoan(key, q.Duration, now)
 		return loanResponse{Granted: true}
 	}
-	if _, duplicate := a.lent[key]; duplicate {
-		return loanResponse{Granted: true}
-	}
 	if _, closed := a.closed[key]; closed {
 		return loanResponse{}
 	}
@@ -167,6 +169,9 @@
 	if q.Excess {
 		available = l.current().assignment(q.Workspace, limits.Concurrency).slots[l.Self] - a.slotsInUse(now) + len(a.excessLoans)
 	}
+	if _, duplicate := a.lent[key]; duplicate {
+		return loanResponse{Granted: true, Available: max(available, 0)}
+	}
 	if available <= 0 {
 		a.refuseLateRequest(key, lateRequestWindow, now)
 		return loanResponse{}
--- a/peer/members.go
+++ b/peer/members.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -25,12 +26,19 @@
 	// direct are the instances that sent heartbeats to this one.
 	direct map[hbs.InstanceID]*member
 	// reported are instances of the domain that another instance receives
-	// heartbeats from and the platform does not list.
-	reported map[hbs.InstanceID]hbs.Instance
-	// sendFailures is the time of the last failure to send to an instance.
+	// heartbeats from and the platform does not list. At most maxInstances.
+	reported map[hbs.InstanceID]report
+	// sendFailures is the time of the last failure to send to an instance, in the
+	// last failureWindow.
 	sendFailures map[hbs.InstanceID]time.Time
 }
 
+// report is the latest record of an instance that another instance reported.
+type report struct {
+	hbs.Instance
+	at time.Time
+}
+
 // member is the latest record of an instance that sent heartbeats to this one.
 type member struct {
 	hbs.Instance
@@ -44,7 +52,7 @@
 		server:       s,
 		listed:       &mirror.RecordCache[hbs.Instance]{Set: s.Objects, Kind: hbs.ObjectInstance, Decode: mirror.DecodeInstance},
 		direct:       map[hbs.InstanceID]*member{},
-		reported:     map[hbs.InstanceID]hbs.Instance{},
+		reported:     map[hbs.InstanceID]report{},
 		sendFailures: map[hbs.InstanceID]time.Time{},
 	}
 }
@@ -58,12 +66,14 @@
 	if from.ID == self.ID {
 		return
 	}
-	m.direct[from.ID] = &member{from, time.Now(), h.Interval}
+	now := time.Now()
+	m.direct[from.ID] = &member{from, now, h.Interval}
 	delete(m.reported, from.ID)
 	delete(m.sendFailures, from.ID)
 	for _, i := range h.Unlisted {
-		if i.ID != self.ID && i.Domain == self.Domain && m.direct[i.ID] == nil && len(m.reported) < maxInstances {
-			m.reported[i.ID] = i
+		_, known := m.reported[i.ID]
+		if i.ID != self.ID && i.Domain == self.Domain && m.direct[i.ID] == nil && (known || len(m.reported) < maxInstances) {
+			m.reported[i.ID] = report{i, now}
 		}
 	}
 }
@@ -169,8 +179,7 @@
 }
 
 // known returns all other instances that heartbeats may be sent to, by ID: those
-// that the platform lists, live ones and reported ones. It also removes expired
-// records.
+// that the platform lists, live ones and reported ones.
 func (m *members) known() map[hbs.InstanceID]hbs.Instance {
 	out := map[hbs.InstanceID]hbs.Instance{}
 	list, _ := m.listed.Read()
@@ -180,21 +189,31 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := time.Now()
-	for id, i := range m.reported {
-		out[id] = i
+	m.removeExpired(now)
+	for id, r := range m.reported {
+		out[id] = r.Instance
 	}
 	for id, x := range m.direct {
 		if m.isAlive(x, now) {
 			out[id] = x.Instance
-		} else if now.Sub(x.lastHeartbeat) > expireAfter {
-			delete(m.direct, id)
-			delete(m.reported, id)
 		}
 	}
 	delete(out, m.server.Self().ID)
 	return out
 }
 
+// removeExpired forgets instances that no longer exist. The caller holds mu.
+func (m *members) removeExpired(now time.Time) {
+	for id, x := range m.direct {
+		if !m.isAlive(x, now) && now.Sub(x.lastHeartbeat) > expireAfter {
+			delete(m.direct, id)
+			delete(m.reported, id)
+		}
+	}
+	maps.DeleteFunc(m.reported, func(_ hbs.InstanceID, r report) bool { return now.Sub(r.at) > expireAfter })
+	maps.DeleteFunc(m.sendFailures, func(_ hbs.InstanceID, at time.Time) bool { return now.Sub(at) > failureWindow })
+}
+
 // idsAt returns the IDs of the known instances whose peer address is addr.
 func (m *members) idsAt(addr netip.AddrPort) (ids []hbs.InstanceID) {
 	for id, i := range m.known() {
@@ -223,7 +242,8 @@
 }
 
 const (
-	// expireAfter is the time without a heartbeat after which a record is removed.
+	// expireAfter is the time without a heartbeat or report after which a record is
+	// removed.
 	expireAfter = 10 * time.Minute
 	// failureWindow is how long other representatives are preferred after a send
 	// to an instance failed.
--- a/placement/group.go
+++ b/placement/group.go
@@ -26,6 +26,8 @@
 	scores  []*straggler.Score
 	rates   rates
 	tuning  tuning
+	// lastMember is when a roster last had an endpoint of the group.
+	lastMember time.Time
 	// evaluated is when the endpoints were last compared for stragglers.
 	evaluated time.Time
 	// rebalanced is when the hashing weights were last updated.
--- a/placement/roster.go
+++ b/placement/roster.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -25,7 +26,7 @@
 		}
 	}
 	p.updateMembers(roster, now)
-	p.regroup()
+	p.regroup(now)
 }
 
 func (p *Placer) updateMembers(roster *hbs.Roster, now time.Time) {
@@ -42,6 +43,16 @@
 			delete(p.byHash, wireID(m.hash))
 		}
 	}
+	p.removeDomains(roster)
+}
+
+// removeDomains removes the failure domains without endpoints and instances.
+func (p *Placer) removeDomains(roster *hbs.Roster) {
+	listed := map[hbs.DomainName]bool{p.Self.Domain: true}
+	for i := range roster.Endpoints {
+		listed[roster.Endpoints[i].Domain] = true
+	}
+	maps.DeleteFunc(p.domains, func(name hbs.DomainName, d *domain) bool { return !listed[name] && !d.hasInstances })
 }
 
 func (p *Placer) updateMember(e *hbs.Endpoint, now time.Time) {
@@ -73,8 +84,12 @@
 	return d
 }
 
+// emptyGroupTTL is how long a group without endpoints is kept: its learned rates are
+// useful when the endpoints come back.
+const emptyGroupTTL = 10 * time.Minute
+
 // regroup assigns the members to the groups of their model and service.
-func (p *Placer) regroup() {
+func (p *Placer) regroup(now time.Time) {
 	for _, g := range p.groups {
 		g.members, g.scores = g.members[:0], g.scores[:0]
 		g.eligible = nil
@@ -89,7 +104,11 @@
 		for _, m := range g.members {
 			g.scores = append(g.scores, &m.score)
 		}
+		if len(g.members) > 0 {
+			g.lastMember = now
+		}
 	}
+	maps.DeleteFunc(p.groups, func(_ groupKey, g *group) bool { return now.Sub(g.lastMember) > emptyGroupTTL })
 }
 
 func (p *Placer) group(key groupKey) *group {
