placement, load, route, gateway, burn, config, router: faults found by reading

No spec: the tests' clock has no wall clock to step. Right as it is: roster ignores new weights that are empty. An endpoint refuses requests for another reason, too (its id), and then tells none.

--- a/burn/tracker.go
+++ b/burn/tracker.go
@@ -33,6 +33,8 @@
 	Objectives func() []Objective
 
 	mu sync.Mutex
+	// started is the time of the first use.
+	started time.Time
 	// tracked maps each combination to its series, one for each of Windows. It has
 	// at most maxTracked entries plus one for otherWorkspace per objective and model.
 	tracked map[trackedKey][]*series
@@ -54,16 +56,16 @@
 // latency holds the distributions of one latency in the current and the previous
 // hour.
 type latency struct {
-	// hour is the number of the current hour since the Unix epoch.
+	// hour is the number of the current hour since the Unix epoch, by Tracker.now.
 	hour              int64
 	current, previous *hdrhistogram.Histogram
 }
 
 // Observe counts s towards the objectives that apply to it.
 func (t *Tracker) Observe(s Sample) {
-	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now := t.now()
 	for _, o := range t.Objectives() {
 		if !o.Selects(s.Workspace, s.Model) {
 			continue
@@ -139,12 +141,21 @@
 	l.hour = hour
 }
 
+// now returns the time of the first use plus the time since by the monotonic clock: a
+// step of the wall clock must not drop what was counted. The caller holds mu.
+func (t *Tracker) now() time.Time {
+	if t.started.IsZero() {
+		t.started = time.Now()
+	}
+	return t.started.Add(time.Since(t.started))
+}
+
 // Report returns the current burn rates and latencies.
 func (t *Tracker) Report() *Report {
-	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := &Report{At: now, Instances: []hbs.InstanceID{t.Instance}}
+	now := t.now()
+	r := &Report{At: time.Now(), Instances: []hbs.InstanceID{t.Instance}}
 	for key, all := range t.tracked {
 		r.Rows = append(r.Rows, newRow(now, key, all))
 	}
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -58,6 +60,16 @@
 		Expect(err.Error()).To(ContainSubstring("bad.toml:2: defaults.hedge.budget: value 3 is outside 0 to 1 (share)\n"))
 	})
 
+	It("says so if it does not report all errors of a file", func() {
+		var text strings.Builder
+		for i := range 150 {
+			fmt.Fprintf(&text, "line %d\n", i)
+		}
+		_, err := config.Decode("worse.toml", []byte(text.String()), knobs)
+		Expect(err).To(MatchError(ContainSubstring("worse.toml:100: ")))
+		Expect(err).To(MatchError(ContainSubstring("errors after the first 100 invalid lines are not reported")))
+	})
+
 	It("decodes what Encode writes", func() {
 		data, err := goodConfig().Encode(knobs)
 		Expect(err).NotTo(HaveOccurred())
--- a/config/decode.go
+++ b/config/decode.go
@@ -81,6 +81,7 @@
 			}
 		}
 	}
+	d.addFault(d.faults[len(d.faults)-1].Line, "errors after the first %d invalid lines are not reported", maxInvalidLines)
 	return &file{}
 }
 
--- a/gateway/cacheevents.go
+++ b/gateway/cacheevents.go
@@ -62,17 +62,19 @@
 	defer c.wg.Wait()
 	defer cancel()
 	for {
-		changed := c.directory.Changed()
+		changed, tableChanged := c.directory.Changed(), c.routes.tableChanged()
 		c.reconcile(ctx, c.directory.Roster())
 		select {
 		case <-changed:
+		case <-tableChanged:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
 }
 
-// reconcile starts and stops readers so that they match the roster.
+// reconcile starts and stops readers so that they match the roster and the route
+// table. What was known of a cache that is no longer read is cleared.
 func (c *cacheReaders) reconcile(ctx context.Context, r *hbs.Roster) {
 	listed := map[hbs.EndpointID]bool{}
 	for i := range r.Endpoints {
@@ -90,7 +92,7 @@
 	}
 	for id, r := range c.readers {
 		if !listed[id] {
-			r.cancel()
+			r.stop()
 			delete(c.readers, id)
 		}
 	}
@@ -104,8 +106,7 @@
 		if old.source == r.source {
 			return
 		}
-		old.cancel()
-		r.sink.apply(cacheevent.KindCleared, "", 0)
+		old.stop()
 	}
 	ctx, r.cancel = context.WithCancel(ctx)
 	r.cacheReaders, r.maxTokens = c, map[hbs.LevelKey]int{}
@@ -170,11 +171,19 @@
 // of readers is reached.
 var errTooManyReaders = errors.New("engine has reached its limit of cache event readers")
 
+// stop ends the reader and clears what it has reported.
+func (r *cacheReader) stop() {
+	r.cancel()
+	r.sink.apply(cacheevent.KindCleared, "", 0)
+}
+
 func (r *cacheReader) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause := cachePollInterval
 		page, err := r.poll(ctx)
 		switch {
+		case ctx.Err() != nil:
+			return
 		case err == nil:
 			r.applyPage(&page)
 		case errors.Is(err, errTooManyReaders):
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -91,6 +91,9 @@
 	cancel  [2]context.CancelFunc
 	logs    *observer.ObservedLogs
 	log     *zap.Logger
+	// kvStore is the address of the KV cache store in the next route table; invalid
+	// for none.
+	kvStore netip.AddrPort
 	// suspendedFor is the total time that the machines were suspended, guarded
 	// by mu.
 	mu           sync.Mutex
@@ -217,17 +220,21 @@
 			"timeout-ms": timeout.Milliseconds(), "max-attempts": attempts, "resumable": resumable,
 		}
 	}
+	services := []any{
+		map[string]any{"name": "engines", "engine": map[string]any{"stride": 4, "kv-token-bytes": 1000, "link-mbps": 10000}}, map[string]any{"name": "plain"},
+	}
+	if f.kvStore.IsValid() {
+		services = append(services, map[string]any{"name": "kept", "kv-store-addr": f.kvStore.String(), "zone": string(domain), "kv-capacity-tokens": 1000})
+	}
 	f.Expect(f.store.Put(platform.KindConfig, platform.ConfigName, map[string]any{
 		"version": version,
 		"routes": []any{
 			route("stream", "stream", "engines", 2, true), route("stream-retried", "stream", "engines", 4, true), route("stream-once", "stream", "engines", 1, false),
 			route("write", "non_idempotent", "plain", 1, false), route("read", "idempotent", "plain", 2, false),
 		},
-		"services": []any{
-			map[string]any{"name": "engines", "engine": map[string]any{"stride": 4, "kv-token-bytes": 1000, "link-mbps": 10000}}, map[string]any{"name": "plain"},
-		},
-		"limits":  map[string]any{"max-body-bytes": 1000},
-		"tenants": []any{map[string]any{"name": "w", "api-keys": keys, "isolated": true}},
+		"services": services,
+		"limits":   map[string]any{"max-body-bytes": 1000},
+		"tenants":  []any{map[string]any{"name": "w", "api-keys": keys, "isolated": true}},
 	})).To(Succeed())
 }
 
--- a/gateway/routestate.go
+++ b/gateway/routestate.go
@@ -22,6 +22,8 @@
 	// total suspended time then.
 	asOf      time.Time
 	suspended time.Duration
+	// changed is closed when table is replaced; nil while nobody waits for that.
+	changed chan struct{}
 }
 
 // adopt replaces the table by t if t is newer (rule 1 of package route), and
@@ -33,9 +35,23 @@
 		return false
 	}
 	s.table = t
+	if s.changed != nil {
+		close(s.changed)
+		s.changed = nil
+	}
 	return true
 }
 
+// tableChanged returns a channel that is closed when the table is replaced.
+func (s *routeState) tableChanged() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.changed == nil {
+		s.changed = make(chan struct{})
+	}
+	return s.changed
+}
+
 // confirm records that the table was the newest at asOf.
 func (s *routeState) confirm(asOf time.Time) {
 	total := s.Suspended()
--- a/load/ledger.go
+++ b/load/ledger.go
@@ -192,11 +192,14 @@
 // prefill rate in tokens per second.
 func (l *Ledger) Total(now time.Time, rate float64) Count {
 	sum := l.Local()
-	sum.Prefill = max(0, sum.Prefill-l.oldestPrefillDone(now, rate))
+	localDone := l.oldestPrefillDone(now, rate)
+	sum.Prefill = max(0, sum.Prefill-localDone)
 	decay := decayFactor(now.Sub(l.unattributedAt))
 	sum.Running += l.peerTotal.Running + l.unattributed.Running*decay
-	// The endpoint has computed part of the peers' prompts since the newest report.
-	sum.Prefill += max(0, l.peerTotal.Prefill-rate*now.Sub(l.peerTotalAt).Seconds())
+	// The endpoint has computed part of the peers' prompts since the newest report, in
+	// the time that it did not need for the local one.
+	peersDone := max(0, rate*now.Sub(l.peerTotalAt).Seconds()-localDone)
+	sum.Prefill += max(0, l.peerTotal.Prefill-peersDone)
 	sum.Prefill += l.unattributed.Prefill * decay
 	return sum
 }
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -52,6 +52,14 @@
 		Expect(l.Total(at(0.5), 0).Running).To(Equal(3.0))
 	})
 
+	It("deducts what the endpoint can have computed only once from local and peers' prefill", func() {
+		var l load.Ledger
+		l.Start(&load.Attempt{Started: at(0), Prefill: 1000})
+		l.SetPeer(7, load.Count{Running: 1, Prefill: 1000}, at(0))
+		Expect(l.Total(at(0.5), rate).Prefill).To(BeNumerically("~", 1500, 1))
+		Expect(l.Total(at(1.5), rate).Prefill).To(BeNumerically("~", 500, 1))
+	})
+
 	It("ignores a report that is older than the last", func() {
 		var l load.Ledger
 		l.ApplyReport(load.Count{Running: 2}, at(1))
--- a/load/poller.go
+++ b/load/poller.go
@@ -42,7 +42,7 @@
 
 // Validate returns an error if a value of r is impossible.
 func (r *Report) Validate() error {
-	if r.Running < 0 || r.Waiting < 0 || r.WaitingPromptTokens < 0 || r.AgeSeconds < 0 {
+	if min(r.Running, r.Waiting, r.WaitingPromptTokens, r.CachedTokens, r.CacheCapacityTokens) < 0 || r.AgeSeconds < 0 {
 		return errors.New("load report has a negative value")
 	}
 	return nil
--- a/placement/candidates.go
+++ b/placement/candidates.go
@@ -78,7 +78,8 @@
 		return
 	}
 	m.decision = p.decision
-	m.cached, m.probability, m.homeTokens, m.tier = 0, 0, 0, outerTiers
+	m.believed, m.probability, m.homeTokens, m.tier = 0, 0, 0, outerTiers
+	m.inCache, m.fromStore, m.imported, m.importTime = 0, 0, 0, 0
 	g.candidates = append(g.candidates, m)
 }
 
@@ -112,7 +113,7 @@
 			// An endpoint that has a deeper level cached has this one too, so
 			// this level adds only as much as its probability is higher.
 			if probability := m.cachedProbability(e.Idle, now); probability > m.probability {
-				m.cached += float64(level.Tokens) * (probability - m.probability)
+				m.believed += float64(level.Tokens) * (probability - m.probability)
 				m.probability = probability
 			}
 		}
--- a/placement/cost.go
+++ b/placement/cost.go
@@ -69,7 +69,8 @@
 	total := m.ledger.Total(now, 1/perToken)
 	slots := float64(max(1, m.rec.Slots))
 	prompt := float64(req.PromptTokens)
-	if m.believed = m.cached; m.tier == 0 && len(req.Levels) > 0 {
+	m.cached = m.believed
+	if m.tier == 0 && len(req.Levels) > 0 {
 		m.cached += g.rates.homeCredit * max(0, prompt-m.cached)
 	}
 	p.estimateImport(g, m, req, now)
--- a/placement/member.go
+++ b/placement/member.go
@@ -58,15 +58,13 @@
 	// The fields below are the state of one decision; decision is its number.
 	decision uint64
 
-	// cached is the expected number of prompt tokens in the endpoint's cache,
-	// and after computeCost also what it would load or peers are likely to have
-	// cached there. probability is that of the longest level with a belief so
-	// far.
-	cached, probability float64
-	// believed is cached from beliefs only, without homeCredit and loads.
-	believed float64
-	// inCache is cached before computeCost. It is set only where engines load
-	// from each other.
+	// believed is the number of prompt tokens expected in the endpoint's cache by
+	// beliefs alone. probability is that of the longest level with a belief so far.
+	believed, probability float64
+	// cached is believed with what peers are likely to have cached there
+	// (homeCredit) and what the endpoint would load. computeCost sets it.
+	cached float64
+	// inCache is believed where engines load from each other, else 0.
 	inCache float64
 	// fromStore is the number of further tokens that the shared KV cache store
 	// is expected to have.
@@ -103,6 +101,9 @@
 	paused time.Time
 	// hasInstances reports whether a live instance is in the domain.
 	hasInstances bool
+	// own is set for the domain of this instance, which no partition separates it
+	// from.
+	own bool
 }
 
 const (
@@ -142,7 +143,7 @@
 	m.failures++
 	m.paused = now.Add(delay.Backoff(minPause, maxPause, m.failures-1))
 	d := m.domain
-	if d.lastUnreachable != nil && d.lastUnreachable != m && now.Sub(d.unreachableAt) < partitionWindow {
+	if !d.own && d.lastUnreachable != nil && d.lastUnreachable != m && now.Sub(d.unreachableAt) < partitionWindow {
 		d.paused = now.Add(partitionPause)
 	}
 	d.lastUnreachable, d.unreachableAt = m, now
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -66,7 +66,7 @@
 //     router.
 //  8. Unreachable endpoints are left out for a time that doubles with each
 //     failure, and so are those that fail several attempts in a row. An attempt
-//     whose first token was overdue at its deadline counts as failed. When two endpoints of a failure domain are unreachable, the whole
+//     whose first token was overdue at its deadline counts as failed. When two endpoints of another failure domain are unreachable, the whole
 //     domain is treated as partitioned off for a while.
 //  9. Favoured requests overtake others: only favoured work counts in their wait,
 //     they get the higher limit of home endpoints everywhere, and an endpoint
--- a/placement/roster.go
+++ b/placement/roster.go
@@ -78,7 +78,8 @@
 func (p *Placer) domain(name hbs.DomainName) *domain {
 	d := p.domains[name]
 	if d == nil {
-		d = &domain{name: name, hash: hashID(name), hasInstances: name == p.Self.Domain}
+		own := name == p.Self.Domain
+		d = &domain{name: name, hash: hashID(name), hasInstances: own, own: own}
 		p.domains[name] = d
 	}
 	return d
--- a/placement/source.go
+++ b/placement/source.go
@@ -23,7 +23,7 @@
 		return
 	}
 	for _, m := range g.candidates {
-		m.inCache = m.cached
+		m.inCache = m.believed
 		switch {
 		case m.inCache < minTransferTokens:
 		case g.sources[0] == nil || m.inCache > g.sources[0].inCache:
--- a/placement/store.go
+++ b/placement/store.go
@@ -51,7 +51,7 @@
 }
 
 func (s storedPrefixes) add(key storedKey, now time.Time) {
-	if len(s) < maxStored {
+	if _, known := s[key]; known || len(s) < maxStored {
 		s[key] = now.Add(storedTTL)
 	}
 }
--- a/route/route.go
+++ b/route/route.go
@@ -14,6 +14,7 @@
 
 import (
 	"crypto/sha256"
+	"net"
 	"net/netip"
 	"slices"
 	"strings"
@@ -175,13 +176,21 @@
 	case len(r.Split) == 0:
 		return errors.New("split is empty, want at least one service")
 	}
+	for _, s := range r.Split {
+		if s.Weight <= 0 {
+			return errors.Newf("weight %d of service %q is not positive", s.Weight, s.Service)
+		}
+	}
 	return nil
 }
 
-// normalizeHost lower-cases host and removes the port.
+// normalizeHost lower-cases host and removes the port and the brackets of an IPv6
+// address.
 func normalizeHost(host string) string {
-	name, _, _ := strings.Cut(host, ":")
-	return strings.ToLower(name)
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(strings.Trim(host, "[]"))
 }
 
 // Match returns the route for host and path, or nil (rule 2).
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -26,6 +26,7 @@
 var _ = Describe("Table", func() {
 	table := &route.Table{Routes: []route.Route{
 		newRoute("short", "h.example", "/a/"), newRoute("long", "h.example", "/a/b/"), newRoute("other", "o.example", "/"),
+		newRoute("six", "2001:db8::1", "/"), newRoute("bracketed", "[2001:db8::2]", "/"),
 	}}
 	BeforeEach(func() { Expect(table.Index()).To(Succeed()) })
 
@@ -43,6 +44,10 @@
 		Entry("a path without a matching prefix", "h.example", "/b/", ""),
 		Entry("a path that is shorter than the prefix", "h.example", "/a", ""),
 		Entry("an unknown host", "x.example", "/a/", ""),
+		Entry("an IPv6 host", "[2001:db8::1]", "/", "six"),
+		Entry("an IPv6 host with a port", "[2001:DB8::1]:80", "/", "six"),
+		Entry("an IPv6 host of a route in brackets", "[2001:db8::2]:80", "/", "bracketed"),
+		Entry("another IPv6 host", "[2001:db8::3]", "/", ""),
 	)
 
 	It("finds workspaces only by their keys", func() {
@@ -83,3 +88,8 @@
 		Expect(r.ChooseService("x", func(hbs.ServiceName) bool { return false })).To(Equal(hbs.ServiceName("a")))
 	})
 })
+
+var _ = It("rejects a route whose split has a weight that is not positive", func() {
+	t := &route.Table{Routes: []route.Route{newRoute("r", "h.example", "/", route.WeightedService{Service: "s", Weight: 1}, route.WeightedService{Service: "t"})}}
+	Expect(t.Index()).To(MatchError(ContainSubstring("weight 0")))
+})
--- a/router/command.go
+++ b/router/command.go
@@ -49,7 +49,7 @@
 type Command struct {
 	Settings         string `long:"settings" value-name:"FILE" description:"settings file of this instance, TOML"`
 	PlatformSettings string `long:"platform-settings" value-name:"FILE" env:"HORNBEAMSTAGE_BOOT" description:"settings file written by a hosting platform, JSON; used without --settings"`
-	Check            bool   `long:"check" description:"check the settings and exit"`
+	Check            bool   `long:"check" description:"check the settings and the floor configuration and exit"`
 
 	logs logging.Writer
 }
@@ -73,7 +73,7 @@
 		return ExitUsage, err
 	}
 	if c.Check {
-		return ExitOK, nil
+		return c.check(p)
 	}
 	defer c.startLogWriter()()
 	if err := runUntilSignal(ctx, p, signals); err != nil {
@@ -83,6 +83,18 @@
 	return ExitOK, nil
 }
 
+// check checks the files that the settings name. It returns the exit code.
+func (c *Command) check(p process) (code int, err error) {
+	r, ok := p.(*Router)
+	if !ok {
+		return ExitOK, nil
+	}
+	if _, err := r.readFloor(); err != nil {
+		return ExitUsage, err
+	}
+	return ExitOK, nil
+}
+
 // logFlushTimeout bounds the wait at exit for an output that blocks.
 const logFlushTimeout = 500 * time.Millisecond
 
--- a/router/components.go
+++ b/router/components.go
@@ -94,16 +94,22 @@
 		Metrics: r.Metrics,
 		Log:     r.Log.Named("config"),
 	}
+	floor, err := r.readFloor()
+	c.config.Floor = floor
+	return err
+}
+
+// readFloor reads the floor configuration; nil if the settings name none.
+func (r *Router) readFloor() (*config.Config, error) {
 	file := r.Settings.Configuration.Floor
 	if file == "" {
-		return nil
+		return nil, nil
 	}
 	data, err := os.ReadFile(file)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	c.config.Floor, err = config.Decode(file, data, catalog.Knobs())
-	return err
+	return config.Decode(file, data, catalog.Knobs())
 }
 
 // addPlatform adds the platform client and the watcher. Both stay nil when no
