--- a/attempt/endless_test.go
+++ b/attempt/endless_test.go
@@ -20,26 +20,11 @@
 // requestTime is the time between a request and its deadline.
 const requestTime = 20 * time.Second
 
-// countingSink counts what the caller receives.
-type countingSink struct {
-	status, bytes int
-}
-
-func (s *countingSink) Start(status int, _ http.Header) error {
-	s.status = status
-	return nil
-}
-
-func (s *countingSink) Write(p []byte) error {
-	s.bytes += len(p)
-	return nil
-}
-
 // testRun is one attempt at a server whose response never ends.
 type testRun struct {
 	Result
 	endless.Played
-	sink countingSink
+	sink endless.Sink
 }
 
 // runEndless runs one attempt of a repeatable request at an endpoint of the given
@@ -82,7 +67,7 @@
 		Expect(r.End).To(Equal(hbs.EndBroken))
 		Expect(r.BufferedError).To(BeNil())
 		Expect(r.Refusal.Outcome).To(Equal(hbs.OutcomeUnknown))
-		Expect(r.sink.bytes).To(BeNumerically("<=", mostBytes))
+		Expect(r.sink.Bytes).To(BeNumerically("<=", mostBytes))
 		Expect(r.Took).To(BeNumerically("<", requestTime))
 		Expect(r.Open).To(BeZero())
 	},
@@ -98,7 +83,7 @@
 		Expect(r.End).To(Equal(hbs.EndFailed))
 		Expect(r.BufferedError).To(BeNil())
 		Expect(r.Refusal.Outcome).To(Equal(hbs.OutcomeFailed))
-		Expect(r.sink).To(Equal(countingSink{}))
+		Expect(r.sink).To(Equal(endless.Sink{}))
 		Expect(r.Open).To(BeZero())
 	}, Entry("of a service", hbs.KindService), Entry("of an engine", hbs.KindEngine))
 
--- /dev/null
+++ b/forward/buffered.go
@@ -0,0 +1,68 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+
+	hbs "github.com/hornbeamstage/hornbeamstage"
+	"github.com/hornbeamstage/hornbeamstage/attempt"
+)
+
+// passBuffered buffers a response that is not a stream and passes it on (rule 4).
+// What exceeds the buffer is passed on as it arrives.
+func (r *run) passBuffered(ctx context.Context, res *http.Response) {
+	data, whole, err := r.buffers.buffer(res.Body, int(r.Policy.Number(attempt.KnobWholeBytes, r.scope())))
+	if err != nil {
+		r.failBroken(ctx, err)
+		return
+	}
+	r.recordFirstToken()
+	switch {
+	case res.StatusCode >= 400 && whole:
+		r.bufferError(res, data)
+		return
+	case res.StatusCode >= 500 && r.Request.Class == hbs.ClassRepeatable:
+		// Another endpoint may do better, but only if the caller got nothing.
+		r.endFailed(http.StatusText(res.StatusCode) + ": response is too long to be buffered")
+		return
+	}
+	if err := r.passBody(res, io.MultiReader(bytes.NewReader(data), res.Body)); err != nil {
+		r.failBroken(ctx, err)
+		return
+	}
+	r.result.End = hbs.EndComplete
+	if res.StatusCode >= 400 {
+		r.result.End = hbs.EndFailed
+	}
+}
+
+// bufferError stores an endpoint's error response, so that the dispatcher can retry or
+// pass it on.
+func (r *run) bufferError(res *http.Response, body []byte) {
+	h := responseHeader(res.Header)
+	h.Del("Content-Length")
+	r.result.BufferedError = &attempt.ErrorResponse{Status: res.StatusCode, Header: h, Body: body}
+	r.endFailed(http.StatusText(res.StatusCode))
+}
+
+// passBody passes a response with the given body on.
+func (r *run) passBody(res *http.Response, body io.Reader) error {
+	if err := r.startResponse(res); err != nil {
+		return err
+	}
+	_, err := io.Copy(writerFunc(r.write), body)
+	return err
+}
+
+// writerFunc adapts a function to io.Writer.
+type writerFunc func([]byte) error
+
+// Write implements io.Writer.
+func (f writerFunc) Write(p []byte) (int, error) {
+	if err := f(p); err != nil {
+		return 0, err
+	}
+	return len(p), nil
+}
--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -23,26 +23,11 @@
 // requestTime is the time between a request and its deadline.
 const requestTime = 5 * time.Second
 
-// countingSink counts what the caller receives.
-type countingSink struct {
-	status, bytes int
-}
-
-func (s *countingSink) Start(status int, _ http.Header) error {
-	s.status = status
-	return nil
-}
-
-func (s *countingSink) Write(p []byte) error {
-	s.bytes += len(p)
-	return nil
-}
-
 // testRun is one attempt at a server whose response never ends.
 type testRun struct {
 	attempt.Result
 	endless.Played
-	sink countingSink
+	sink endless.Sink
 }
 
 // runEndless runs one attempt of a repeatable request at a server.
@@ -90,7 +75,7 @@
 		r := runEndless(&Sender{}, endless.Body("500 Internal Server Error", ownHeader, "x"), endless.Fast)
 		Expect(r.End).To(Equal(hbs.EndFailed))
 		Expect(r.Refusal.Outcome).To(Equal(hbs.OutcomeFailed))
-		Expect(r.sink).To(Equal(countingSink{}))
+		Expect(r.sink).To(Equal(endless.Sink{}))
 		Expect(r.Open).To(BeZero())
 	})
 
@@ -105,7 +90,7 @@
 		r := runEndless(&Sender{}, endless.Body("200 OK", ownHeader+header, repeat), endless.Fast)
 		Expect(r.End).To(Equal(hbs.EndBroken))
 		Expect(r.Refusal.Outcome).To(Equal(hbs.OutcomeUnknown))
-		Expect(r.sink.bytes).To(BeNumerically("<=", 64<<20))
+		Expect(r.sink.Bytes).To(BeNumerically("<=", 64<<20))
 		Expect(r.Open).To(BeZero())
 	},
 		Entry("a body", "", "x"),
@@ -139,7 +124,7 @@
 var _ = It("passes a complete response on and closes the connection on what follows it", func() {
 	r := runEndless(&Sender{}, sizedResponse(), endless.Fast)
 	Expect(r.End).To(Equal(hbs.EndComplete))
-	Expect(r.sink).To(Equal(countingSink{status: http.StatusOK, bytes: pieces * bufferStep}))
+	Expect(r.sink).To(Equal(endless.Sink{Status: http.StatusOK, Bytes: pieces * bufferStep}))
 	Expect(r.Open).To(BeZero())
 })
 
@@ -157,7 +142,7 @@
 	It("bounds how much of a response is held back, not its length", func() {
 		r := runEndless(&Sender{BufferBytes: 2 * bufferStep}, sizedResponse(), endless.Fast)
 		Expect(r.End).To(Equal(hbs.EndComplete))
-		Expect(r.sink.bytes).To(Equal(pieces * bufferStep))
+		Expect(r.sink.Bytes).To(Equal(pieces * bufferStep))
 	})
 
 	It("breaks a stream whose event doesn't fit into it", func() {
@@ -174,7 +159,7 @@
 	head := "Content-Length: " + strconv.Itoa(length) + "\r\n" + ownHeader
 	body := endless.Response{Start: "HTTP/1.1 500 Internal Server Error\r\n" + head + "\r\n" + strings.Repeat("x", length), Repeat: "y"}
 	r := runClass(hbs.ClassOnce, &Sender{}, body, endless.Drips)
-	Expect(r.sink).To(Equal(countingSink{status: http.StatusInternalServerError, bytes: length}))
+	Expect(r.sink).To(Equal(endless.Sink{Status: http.StatusInternalServerError, Bytes: length}))
 	Expect(r.End).To(Equal(hbs.EndFailed))
 	Expect(r.Open).To(BeZero())
 })
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -210,86 +210,6 @@
 	}
 }
 
-// recordRefusal records that the endpoint did not run the attempt (rule 2).
-func (r *run) recordRefusal(a *platform.ResponseInfo) {
-	r.count(meterRefused)
-	if a.Misplaced && r.OnMismatch != nil {
-		r.OnMismatch(&r.Placement.Endpoint, a)
-	}
-	r.result.End = hbs.EndRefused
-	r.result.Refusal = hbs.NotRun(hbs.ReasonNoEndpoint, "the endpoint refused", 0)
-}
-
-// rejectResponse discards a response that is not the attempt's own (rule 3).
-func (r *run) rejectResponse(detail string) {
-	r.count(meterMismatch)
-	r.result.End = hbs.EndBroken
-	r.result.Refusal = &hbs.Refusal{Outcome: hbs.OutcomeUnknown, Reason: hbs.ReasonAnswerMismatch, Detail: detail}
-}
-
-// passBuffered buffers a response that is not a stream and passes it on (rule 4).
-// What exceeds the buffer is passed on as it arrives.
-func (r *run) passBuffered(ctx context.Context, res *http.Response) {
-	data, whole, err := r.buffers.buffer(res.Body, int(r.Policy.Number(attempt.KnobWholeBytes, r.scope())))
-	if err != nil {
-		r.failBroken(ctx, err)
-		return
-	}
-	r.recordFirstToken()
-	switch {
-	case res.StatusCode >= 400 && whole:
-		r.bufferError(res, data)
-		return
-	case res.StatusCode >= 500 && r.Request.Class == hbs.ClassRepeatable:
-		// Another endpoint may do better, but only if the caller got nothing.
-		r.endFailed(http.StatusText(res.StatusCode) + ": response is too long to be buffered")
-		return
-	}
-	if err := r.passBody(res, io.MultiReader(bytes.NewReader(data), res.Body)); err != nil {
-		r.failBroken(ctx, err)
-		return
-	}
-	r.result.End = hbs.EndComplete
-	if res.StatusCode >= 400 {
-		r.result.End = hbs.EndFailed
-	}
-}
-
-// bufferError stores an endpoint's error response, so that the dispatcher can retry or
-// pass it on.
-func (r *run) bufferError(res *http.Response, body []byte) {
-	h := responseHeader(res.Header)
-	h.Del("Content-Length")
-	r.result.BufferedError = &attempt.ErrorResponse{Status: res.StatusCode, Header: h, Body: body}
-	r.endFailed(http.StatusText(res.StatusCode))
-}
-
-// endFailed records that the endpoint answered with an error.
-func (r *run) endFailed(detail string) {
-	r.result.End = hbs.EndFailed
-	r.result.Refusal = &hbs.Refusal{Outcome: hbs.OutcomeFailed, Reason: hbs.ReasonEndpointError, Detail: detail}
-}
-
-// passBody passes a response with the given body on.
-func (r *run) passBody(res *http.Response, body io.Reader) error {
-	if err := r.startResponse(res); err != nil {
-		return err
-	}
-	_, err := io.Copy(writerFunc(r.write), body)
-	return err
-}
-
-// writerFunc adapts a function to io.Writer.
-type writerFunc func([]byte) error
-
-// Write implements io.Writer.
-func (f writerFunc) Write(p []byte) (int, error) {
-	if err := f(p); err != nil {
-		return 0, err
-	}
-	return len(p), nil
-}
-
 // startResponse starts the response to the caller, unless an earlier attempt did and
 // this one resumes it.
 func (r *run) startResponse(res *http.Response) error {
@@ -324,46 +244,6 @@
 	}
 }
 
-// failUnreached ends an attempt that sent nothing. Only a failed connection counts
-// against the endpoint.
-func (r *run) failUnreached(ctx context.Context, err error) {
-	r.count(meterUnreached)
-	var refusal *hbs.Refusal
-	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		refusal = hbs.NotRun(hbs.ReasonExpired, "", 0)
-	case ctx.Err() != nil:
-		refusal = hbs.NotRun(hbs.ReasonCanceled, "", 0)
-	case errors.As(err, &refusal):
-	default:
-		r.result.End = hbs.EndUnreached
-		r.result.Refusal = hbs.NotRun(hbs.ReasonConnect, err.Error(), 0)
-		return
-	}
-	r.result.End = hbs.EndCanceled
-	r.result.Refusal = refusal
-}
-
-// failBroken ends a sent attempt whose response is incomplete.
-func (r *run) failBroken(ctx context.Context, err error) {
-	refusal := &hbs.Refusal{Outcome: hbs.OutcomeUnknown, Reason: hbs.ReasonBroken, Detail: err.Error()}
-	r.result.Refusal = refusal
-	r.result.End = hbs.EndCanceled
-	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		r.result.End = hbs.EndExpired
-		refusal.Reason = hbs.ReasonExpired
-	case ctx.Err() != nil, errors.Is(err, errCallerLeft), errors.Is(err, errLostRace):
-		refusal.Reason = hbs.ReasonCanceled
-	default:
-		r.count(meterBroken)
-		r.result.End = hbs.EndBroken
-		if r.result.Started {
-			refusal.Reason = hbs.ReasonIncomplete
-		}
-	}
-}
-
 func (s *Sender) count(name string) {
 	metrics.GetOrRegisterCounter(name, s.Metrics).Inc(1)
 }
--- a/standin/endless/play.go
+++ b/standin/endless/play.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"net/netip"
 	"testing"
 	"testing/synctest"
@@ -47,3 +48,23 @@
 	})
 	return out
 }
+
+// Sink counts what the caller of an endless response receives. It implements
+// hornbeamstage.Sink.
+type Sink struct {
+	Status, Bytes int
+}
+
+var _ hbs.Sink = (*Sink)(nil)
+
+// Start implements hornbeamstage.Sink.
+func (s *Sink) Start(status int, _ http.Header) error {
+	s.Status = status
+	return nil
+}
+
+// Write implements hornbeamstage.Sink.
+func (s *Sink) Write(p []byte) error {
+	s.Bytes += len(p)
+	return nil
+}
