admission, console, stand-ins: the rest of the faults found by reading

- admission: the place of a long request leaked if the configuration changed what counts as long while it ran; the placement notes it now. admission_queued showed the queue that changed last; it is the sum of all.
- the stand-in of the platform ignored lost answers when a status was replaced.
Specs failed before for the first three.
Right as they are: adapters of the engine's stand-in are reset by a crash; spares are selected at listings also where all regions are kept, as peers of the other kind pull them.

--- /dev/null
+++ b/admission/accounting_test.go
@@ -0,0 +1,63 @@
+package admission_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sourcegraph/conc"
+
+	hbs "github.com/hornbeamstage/hornbeamstage"
+	"github.com/hornbeamstage/hornbeamstage/admission"
+	"github.com/hornbeamstage/hornbeamstage/knob"
+)
+
+// changingPolicy is a policy that a test replaces.
+type changingPolicy struct{ hbs.Policy }
+
+var _ = Describe("the accounting of a controller", func() {
+	It("releases the place of long work whose requests stopped counting as long meanwhile", func() {
+		synctest.Test(suiteT, func(t *testing.T) {
+			g := NewWithT(t)
+			s := newFakePlacer(1, 4)
+			policy := &changingPolicy{knob.NewFixed(admission.Knobs).With(admission.KnobLongTokens, 10).With(admission.KnobLongSlots, 0.25)}
+			c := &admission.Controller{Placer: s, Directory: s, Policy: policy, Metrics: metrics.NewRegistry()}
+			long := &hbs.Request{ID: "r", Model: "m", ExpectedTokens: 1000, Deadline: time.Now().Add(time.Hour)}
+			p, err := c.Place(context.Background(), long)
+			g.Expect(err).NotTo(HaveOccurred())
+			_, ok := c.TryPlace(long, nil)
+			g.Expect(ok).To(BeFalse(), "the only place for long work is taken")
+			limited := policy.Policy
+			policy.Policy = knob.NewFixed(admission.Knobs).With(admission.KnobLongTokens, 1e6)
+			c.Finish(long, &p, hbs.AttemptResult{End: hbs.EndComplete, OutputTokens: 1})
+			policy.Policy = limited
+			_, ok = c.TryPlace(long, nil)
+			g.Expect(ok).To(BeTrue())
+		})
+	})
+
+	It("counts the waiting requests of all queues", func() {
+		synctest.Test(suiteT, func(t *testing.T) {
+			g := NewWithT(t)
+			s := newFakePlacer(1, 1)
+			c := &admission.Controller{Placer: s, Directory: s, Policy: knob.NewFixed(admission.Knobs), Metrics: metrics.NewRegistry()}
+			ctx, cancel := context.WithCancel(context.Background())
+			var wg conc.WaitGroup
+			for _, model := range []hbs.ModelName{"a", "a", "a", "b", "c"} {
+				wg.Go(func() {
+					_, _ = c.Place(ctx, &hbs.Request{ID: "r", Model: model, ExpectedTokens: 1})
+				})
+				synctest.Wait()
+			}
+			queued := metrics.GetOrRegisterGauge("admission_queued", c.Metrics)
+			g.Expect(queued.Value()).To(BeEquivalentTo(4))
+			cancel()
+			wg.Wait()
+			g.Expect(queued.Value()).To(BeZero())
+		})
+	})
+})
--- a/admission/admission.go
+++ b/admission/admission.go
@@ -54,6 +54,7 @@
 	"context"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -79,6 +80,9 @@
 	// the signal is not lost while Run is busy.
 	wakeup chan struct{}
 
+	// waiting is the number of waiting requests of all queues.
+	waiting atomic.Int64
+
 	mu     sync.Mutex
 	queues map[queueKey]*queue
 	// pruneAt is the number of queues at which the unused ones are removed.
--- a/admission/dispatch.go
+++ b/admission/dispatch.go
@@ -59,7 +59,7 @@
 	}
 	if r := q.lateRefusal(w, &p); r != nil {
 		q.c.Placer.Finish(&p, hbs.AttemptResult{End: hbs.EndCanceled, CachedTokens: -1})
-		q.release(&p, w.long)
+		q.release(&p)
 		q.refuse(w, r)
 		return true
 	}
@@ -93,7 +93,8 @@
 	}
 	p.Priority = enginePriority(w.req, p.CachedTokens, rank)
 	q.estimates.running++
-	if w.long {
+	p.Long = w.long
+	if p.Long {
 		q.c.long.add(p.Endpoint.ID, 1)
 	}
 	return p, nil
@@ -140,9 +141,9 @@
 }
 
 // release undoes the accounting of place.
-func (q *queue) release(p *hbs.Placement, long bool) {
+func (q *queue) release(p *hbs.Placement) {
 	q.estimates.running--
-	if long {
+	if p.Long {
 		q.c.long.add(p.Endpoint.ID, -1)
 	}
 }
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -19,6 +19,8 @@
 
 	// mu guards the fields below.
 	mu sync.Mutex
+	// counted is the part of Controller.waiting that is this queue's.
+	counted int
 	// lanes is indexed by laneShort and laneLong.
 	lanes [2]*lane
 	// virtualTime is the start tag of the lane served last.
@@ -194,7 +196,7 @@
 		return hbs.Placement{}, d.refusal
 	}
 	q.c.Placer.Finish(&d.placement, hbs.AttemptResult{End: hbs.EndCanceled, CachedTokens: -1})
-	q.release(&d.placement, w.long)
+	q.release(&d.placement)
 	q.dispatch()
 	return hbs.Placement{}, r
 }
@@ -222,8 +224,13 @@
 // len returns the number of waiting requests.
 func (q *queue) len() int { return q.lanes[laneShort].n + q.lanes[laneLong].n }
 
+// updateGauge adds the change of the queue's length to the number of all waiting
+// requests.
 func (q *queue) updateGauge() {
-	metrics.GetOrRegisterGauge("admission_queued", q.c.Metrics).Update(int64(q.len()))
+	n := q.len()
+	total := q.c.waiting.Add(int64(n - q.counted))
+	q.counted = n
+	metrics.GetOrRegisterGauge("admission_queued", q.c.Metrics).Update(total)
 }
 
 // recordResult releases the reservation of an ended attempt and updates the
@@ -231,7 +238,7 @@
 func (q *queue) recordResult(req *hbs.Request, p *hbs.Placement, r hbs.AttemptResult) {
 	w := q.newWaiter(req)
 	q.lane(w)
-	q.release(p, w.long)
+	q.release(p)
 	if p.Endpoint.Kind == hbs.KindEngine && req.Stream {
 		q.estimates.recordStart(p, r)
 	}
--- a/console/console_test.go
+++ b/console/console_test.go
@@ -175,6 +175,24 @@
 		})
 	})
 
+	It("says that the platform does not answer if the answer to a read is lost", func() {
+		inBubble(func(h *harness) {
+			bad := &endless.Server{Address: netip.MustParseAddrPort("10.0.0.9:80"), Network: h.fabric.Network("a"), Response: endless.NoHTTP, Rate: endless.Fast}
+			h.wg.Go(func() { _ = bad.Run(h.ctx) })
+			out, exit := h.runWithoutPlatform("--platform", bad.Address.String(), "status")
+			h.Expect(exit).To(Equal(console.ExitPlatform), out)
+		})
+	})
+
+	It("names silent instances apart from outdated ones when a configuration is not in force in time", func() {
+		inBubble(func(h *harness) {
+			h.registerInstances("i-1", "unreachable")
+			out, exit := h.run("apply", "--wait", h.configFile(oneWorkspace))
+			h.Expect(exit).To(Equal(console.ExitWaitTimeout), out)
+			h.Expect(out).To(ContainSubstring("on [i-1]; no answer from [unreachable]"))
+		})
+	})
+
 	It("applies a file, prints it with get and shows differences with diff", func() {
 		inBubble(func(h *harness) {
 			out, exit := h.run("apply", h.configFile(oneWorkspace))
--- a/console/instances.go
+++ b/console/instances.go
@@ -60,7 +60,7 @@
 		return nil, err
 	}
 	objs, _, err := c.platform.List(c.ctx, hbs.ObjectInstance)
-	if err != nil {
+	if err := readError(err); err != nil {
 		return nil, err
 	}
 	var out []hbs.Instance
--- a/console/wait.go
+++ b/console/wait.go
@@ -3,10 +3,9 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	hbs "github.com/hornbeamstage/hornbeamstage"
 	"github.com/hornbeamstage/hornbeamstage/delay"
 	"github.com/hornbeamstage/hornbeamstage/mirror"
@@ -17,21 +16,22 @@
 const pollInterval = 200 * time.Millisecond
 
 // waitInForce waits until the configuration in force on every instance is that of
-// the platform. An instance that does not answer counts as outdated: if it stays
-// so, the wait ends at limit with ExitWaited and the error names it.
+// the platform. An instance that does not answer may be outdated: if it stays silent,
+// the wait ends at limit with ExitWaitTimeout, and the error names it apart from those
+// known to be outdated.
 func (c *Command) waitInForce(limit time.Duration) error {
 	deadline := time.Now().Add(limit)
 	for {
-		outdated, err := c.outdated()
+		outdated, silent, err := c.notInForce()
 		if err != nil {
 			return err
 		}
-		if len(outdated) == 0 {
+		if len(outdated)+len(silent) == 0 {
 			fmt.Fprintln(c.Stderr, "configuration is in force on all instances")
 			return nil
 		}
 		if time.Now().After(deadline) {
-			return exitErrorf(ExitWaitTimeout, "configuration is not in force after %s on %v", limit, outdated)
+			return exitErrorf(ExitWaitTimeout, "configuration is not in force after %s on %v; no answer from %v", limit, outdated, silent)
 		}
 		if err := delay.For(c.ctx, pollInterval); err != nil {
 			return err
@@ -39,29 +39,30 @@
 	}
 }
 
-// outdated returns the instances whose configuration differs from the platform's,
-// or that do not answer.
-func (c *Command) outdated() ([]hbs.InstanceID, error) {
+// notInForce returns the instances whose configuration differs from the platform's,
+// and those that do not answer.
+func (c *Command) notInForce() (outdated, silent []hbs.InstanceID, err error) {
 	st, err := c.readState()
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	var set mirror.Set
 	set.Replace(hbs.ObjectConfiguration, st.items, st.revision)
 	want := set.Summary(hbs.ObjectConfiguration).Digest
 	instances, err := c.instances()
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	missing, _ := c.query(instances, "/status", func(_ hbs.Instance, body []byte) error {
+	silent, _ = c.query(instances, "/status", func(i hbs.Instance, body []byte) error {
 		var s router.Status
 		if err := json.Unmarshal(body, &s); err != nil {
 			return err
 		}
 		if s.Configuration.Digest != want {
-			return errors.New("configuration is outdated")
+			outdated = append(outdated, i.ID)
 		}
 		return nil
 	})
-	return missing, nil
+	slices.Sort(outdated)
+	return outdated, silent, nil
 }
--- a/placement.go
+++ b/placement.go
@@ -22,6 +22,8 @@
 	// Priority is the priority in the engine's queue, set by admission. Lower values
 	// are more urgent.
 	Priority int
+	// Long is set by admission if it counts the request as long work.
+	Long bool
 	// LoadFromStore means that the engine may load the missing part of the prompt's KV
 	// cache from the KV cache store.
 	LoadFromStore bool
--- a/standin/platform/objects.go
+++ b/standin/platform/objects.go
@@ -106,15 +106,23 @@
 	if !p.admit(w, r, c) {
 		return
 	}
+	answer := p.replaceStatus(objectKey{c.kind, c.name}, body.Status)
+	if p.answerLost(c) {
+		panic(http.ErrAbortHandler)
+	}
+	write(w, answer)
+}
+
+// replaceStatus stores the status of an object.
+func (p *Platform) replaceStatus(key objectKey, status json.RawMessage) reply {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	old, ok := p.objects[objectKey{c.kind, c.name}]
+	old, ok := p.objects[key]
 	if !ok {
-		write(w, reply{http.StatusNotFound, message("not found")})
-		return
+		return reply{http.StatusNotFound, message("not found")}
 	}
-	old.Status = body.Status
-	write(w, reply{http.StatusOK, toNumbered(p.store(old))})
+	old.Status = status
+	return reply{http.StatusOK, toNumbered(p.store(old))}
 }
 
 func (p *Platform) listNumbered(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
