--- a/replay/faultlimit.go
+++ b/replay/faultlimit.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/cockroachdb/errors"
+
 	hbs "github.com/hornbeamstage/hornbeamstage"
 	"github.com/hornbeamstage/hornbeamstage/config"
 	"github.com/hornbeamstage/hornbeamstage/delay"
@@ -56,8 +58,14 @@
 	return f.AtSeconds, min(seconds, f.AtSeconds+f.ForSeconds)
 }
 
+// errOneInstance is returned for an entry_lopsided fault whose count is above 1.
+var errOneInstance = errors.New("arrivals can be sent to one instance only")
+
 // skewEntry makes the balancer prefer the first instance that the fault matches.
 func (r *Replay) skewEntry(ctx context.Context, f Fault) error {
+	if f.Count > 1 {
+		return errOneInstance
+	}
 	left := 1
 	for _, in := range r.fleet.instances {
 		if !f.matches(string(in.id), &left) {
