gateway: a stop signal releases the lease for orders at once

Change: stopGracefully releases the lease while it drains. An order counts as pending for the whole time in which no other instance may order the engine (3 s), not for the timeout of its call, so that holders don't take turns too soon.

--- a/converge/converge.go
+++ b/converge/converge.go
@@ -79,6 +79,9 @@
 	// OnWeightsReported is called with the new weights that an engine reports,
 	// usually before its record has them.
 	OnWeightsReported func(id hbs.EndpointID, was, now hbs.WeightsVersion)
+	// OrderLifetime is how long after an order no other instance may send one. A
+	// release of the lease waits for it; at least callTimeout.
+	OrderLifetime time.Duration
 	// Suspended returns the total time for which the machine has been suspended,
 	// accurate to a few milliseconds.
 	Suspended func() time.Duration
--- a/converge/step.go
+++ b/converge/step.go
@@ -188,7 +188,7 @@
 	if err != nil {
 		return platform.OrderUnknown, err
 	}
-	use := s.Lease.BeginOrder(s.fence, time.Now().Add(callTimeout))
+	use := s.Lease.BeginOrder(s.fence, time.Now().Add(s.OrderLifetime))
 	defer use.End(false)
 	guard := func(write func() (int, error)) (int, error) {
 		if s.Suspended()-s.suspendedBefore > suspendTolerance { // C6
--- a/gateway/assemble.go
+++ b/gateway/assemble.go
@@ -87,7 +87,13 @@
 		With(lease.KnobDuration, leaseTime.Seconds()).
 		With(lease.KnobRenew, leaseRenewInterval.Seconds()).
 		With(lease.KnobMargin, leaseMargin.Seconds()).
-		With(lease.KnobOrderLifetime, max(b.LeaseTime, leaseTime).Seconds())
+		With(lease.KnobOrderLifetime, g.orderLifetime().Seconds())
+}
+
+// orderLifetime returns how long after an order of one instance no other one may send
+// orders.
+func (g *Gateway) orderLifetime() time.Duration {
+	return max(g.PlatformSettings.Bounds.LeaseTime, leaseTime)
 }
 
 // assembleStore builds the store's client and the components that hold the data
@@ -145,7 +151,7 @@
 	g.controller = &converge.Controller{
 		Self: self.ID, Lease: g.lease, Directory: g.directory, Network: g.Network, Metrics: g.Metrics,
 		Log: g.Log.Named("converge"), TargetVersion: g.versions.target, Suspended: g.Suspended, AnnounceChange: g.publishTarget,
-		OnWeightsReported: g.directory.SetReportedWeights,
+		OnWeightsReported: g.directory.SetReportedWeights, OrderLifetime: g.orderLifetime(),
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,6 +17,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
+	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/conc/pool"
 	"go.uber.org/zap"
 
@@ -196,8 +197,9 @@
 	return servers.Wait()
 }
 
-// stopGracefully waits for Stop, reports not ready, serves until the platform
-// sends no new connections, and then lets running requests complete.
+// stopGracefully waits for Stop, reports not ready and releases the lease for orders,
+// serves until the platform sends no new connections, and then lets running requests
+// complete.
 func (g *Gateway) stopGracefully(ctx context.Context, callers, readiness *network.Server) error {
 	select {
 	case <-g.stop:
@@ -207,6 +209,9 @@
 	g.Log.Info("instance stops")
 	grace := time.Duration(drainShare * float64(g.handler.bounds.Load().Grace))
 	deadline := time.Now().Add(grace)
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { g.releaseLease(ctx, deadline) })
 	if err := delay.For(ctx, min(deregistrationDelay, grace)); err != nil {
 		return err
 	}
@@ -219,6 +224,16 @@
 	return nil
 }
 
+// releaseLease hands over the lease for orders at once: requests that run until the
+// end of the grace time must not delay the rollout.
+func (g *Gateway) releaseLease(ctx context.Context, deadline time.Time) {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	if err := g.lease.Release(ctx); err != nil {
+		g.Log.Warn("lease not released, it will expire", zap.Error(err))
+	}
+}
+
 // ready reports whether the platform should send callers to this instance, and
 // why not.
 func (g *Gateway) ready() (ok bool, why string) {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -51,6 +51,12 @@
 	routeTimeout = 5 * time.Second
 	// convergeTime is the time in which engines have to load new weights.
 	convergeTime = 15 * time.Second
+	// leaseTime is the time after the last order of one holder in which no other
+	// may order.
+	leaseTime = 3 * time.Second
+	// handOverTime is the longest time from the stop signal for a lease holder to
+	// the first order of its successor.
+	handOverTime = 6 * time.Second
 	// takeoverTime is the longest time from the end of a lease holder to the
 	// first order of its successor.
 	takeoverTime = 8 * time.Second
@@ -180,7 +186,7 @@
 			Store: address(hostStore, 80), Form: platform.FormObjects, ReadsPerSecond: 2000, WritesPerSecond: 400,
 			Bounds: platform.Bounds{
 				Grace: graceTime, ConfigTime: 2 * time.Second, RevokeTime: revokeTime, StrictRevoke: true,
-				RetryRatio: 0.2, RetrySlack: 54, LeaseTime: 3 * time.Second, ConvergeTime: convergeTime,
+				RetryRatio: 0.2, RetrySlack: 54, LeaseTime: leaseTime, ConvergeTime: convergeTime,
 			},
 		},
 		Network: f.fabric.Network(domain), Log: f.log, Metrics: metrics.NewRegistry(),
--- a/gateway/store_test.go
+++ b/gateway/store_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"fmt"
 	"net/http"
 	"time"
 
@@ -228,6 +229,33 @@
 		})
 	})
 
+	// The holder stops while it still serves long requests, soon after an order.
+	It("are ordered by another lease holder soon after the stop signal for the first one", func() {
+		withFleet(func(f *fleet) {
+			f.publishWeights(2)
+			time.Sleep(convergeTime)
+			stopping := 0
+			if _, ok := f.fences()["i2"]; ok {
+				stopping = 1
+			}
+			f.publishWeights(3)
+			time.Sleep(settleTime)
+			ordered := time.Now()
+			f.instances[stopping].Stop()
+			time.Sleep(handOverTime)
+			f.Expect(f.fences()).To(HaveLen(2))
+			time.Sleep(convergeTime)
+			f.Expect(f.versions()).To(HaveEach(int64(3)))
+			for _, e := range f.engines {
+				for _, o := range e.Orders() {
+					if o.Holder != fmt.Sprintf("i%d", stopping+1) {
+						f.Expect(o.At.Sub(ordered)).To(BeNumerically(">=", leaseTime), "holders take turns too soon")
+					}
+				}
+			}
+		})
+	})
+
 	It("are not ordered by a lease holder that was suspended, until it holds the lease again", func() {
 		withFleet(func(f *fleet) {
 			f.suspend(time.Minute)
