standin: engines and service replicas may answer without an end

Cause: only the platform path's stand-ins (pool, endless) could send bytes that never end; no replay of whole workloads met them.

Change: package endless holds the fault once, for a time and with several responses in turn; the engine, the service and the pool wrap their handlers in it. An endless response that nobody reads ends with its stand-in.

--- a/replay/fault.go
+++ b/replay/fault.go
@@ -33,6 +33,9 @@
 	FaultEngineBreak FaultKind = "engine_break"
 	// FaultEngineFail: the engine answers 500 to all requests for ForSeconds.
 	FaultEngineFail FaultKind = "engine_fail"
+	// FaultEngineEndless: the engine answers everything with bytes that never end,
+	// for ForSeconds.
+	FaultEngineEndless FaultKind = "engine_endless"
 	// FaultEventsLost: a Share of the cache events is lost, until the end.
 	FaultEventsLost FaultKind = "events_lost"
 	// FaultLoadLag: load reports are older by ExtraSeconds, until the end.
@@ -46,6 +49,9 @@
 	// FaultServiceDieAfterRun: the next Times calls run and then lose their
 	// connection.
 	FaultServiceDieAfterRun FaultKind = "service_die_after_run"
+	// FaultServiceEndless: the replica executes no call for ForSeconds and answers
+	// with bytes that never end.
+	FaultServiceEndless FaultKind = "service_endless"
 	// FaultInstanceKill: the process is killed; a new one starts ForSeconds after
 	// its end.
 	FaultInstanceKill FaultKind = "instance_kill"
--- a/replay/faultendpoint.go
+++ b/replay/faultendpoint.go
@@ -37,14 +37,15 @@
 }
 
 var engineFaults = map[FaultKind]engineFault{
-	FaultEngineCrash: func(e *engine.Engine, f Fault) { e.Crash(f.duration()) },
-	FaultEngineSlow:  func(e *engine.Engine, f Fault) { e.Slow(f.Factor, f.duration()) },
-	FaultEngineLate:  func(e *engine.Engine, f Fault) { e.DelayAnswers(trace.Seconds(f.ExtraSeconds), f.duration()) },
-	FaultEngineCross: func(e *engine.Engine, f Fault) { e.CrossAnswers(f.Times) },
-	FaultEngineBreak: func(e *engine.Engine, f Fault) { e.BreakStreams(f.Times) },
-	FaultEngineFail:  func(e *engine.Engine, f Fault) { e.Fail(f.duration()) },
-	FaultEventsLost:  func(e *engine.Engine, f Fault) { e.LoseEvents(f.Share) },
-	FaultLoadLag:     func(e *engine.Engine, f Fault) { e.DelayLoad(trace.Seconds(f.ExtraSeconds)) },
+	FaultEngineCrash:   func(e *engine.Engine, f Fault) { e.Crash(f.duration()) },
+	FaultEngineSlow:    func(e *engine.Engine, f Fault) { e.Slow(f.Factor, f.duration()) },
+	FaultEngineLate:    func(e *engine.Engine, f Fault) { e.DelayAnswers(trace.Seconds(f.ExtraSeconds), f.duration()) },
+	FaultEngineCross:   func(e *engine.Engine, f Fault) { e.CrossAnswers(f.Times) },
+	FaultEngineBreak:   func(e *engine.Engine, f Fault) { e.BreakStreams(f.Times) },
+	FaultEngineFail:    func(e *engine.Engine, f Fault) { e.Fail(f.duration()) },
+	FaultEngineEndless: func(e *engine.Engine, f Fault) { e.AnswerEndlessly(f.duration()) },
+	FaultEventsLost:    func(e *engine.Engine, f Fault) { e.LoseEvents(f.Share) },
+	FaultLoadLag:       func(e *engine.Engine, f Fault) { e.DelayLoad(trace.Seconds(f.ExtraSeconds)) },
 }
 
 var serviceFaults = map[FaultKind]serviceFault{
@@ -52,4 +53,5 @@
 	FaultServiceSlow:         func(s *service.Service, f Fault) { s.Slow(f.Factor, f.duration()) },
 	FaultServiceFailAfterRun: func(s *service.Service, f Fault) { s.FailAfterRun(f.Times) },
 	FaultServiceDieAfterRun:  func(s *service.Service, f Fault) { s.AbortAfterRun(f.Times) },
+	FaultServiceEndless:      func(s *service.Service, f Fault) { s.AnswerEndlessly(f.duration()) },
 }
--- a/replay/router_test.go
+++ b/replay/router_test.go
@@ -41,6 +41,8 @@
 		Entry("while calls lose their connection after they ran", replay.Fault{AtSeconds: 2, Kind: replay.FaultServiceDieAfterRun, Target: "jobs-*", Times: 5}),
 		Entry("while an instance stalls for less than a deadline", replay.Fault{AtSeconds: 2.47, Kind: replay.FaultInstanceStall, Target: "i1", ForSeconds: 1.5}),
 		Entry("while an instance stalls for longer than callers wait", replay.Fault{AtSeconds: 2.47, Kind: replay.FaultInstanceStall, Target: "i1", ForSeconds: 12}),
+		Entry("while an engine's responses don't end", replay.Fault{AtSeconds: 2, Kind: replay.FaultEngineEndless, Target: "m-01", ForSeconds: 1.5}),
+		Entry("while a replica's responses don't end", replay.Fault{AtSeconds: 2, Kind: replay.FaultServiceEndless, Target: "jobs-*", ForSeconds: 1.5}),
 		Entry("while an endpoint leaves", replay.Fault{AtSeconds: 0.5, Kind: replay.FaultEndpointLeaving, Target: "m-01"}),
 	)
 })
--- a/standin/endless/endless.go
+++ b/standin/endless/endless.go
@@ -134,6 +134,7 @@
 		return errors.Wrap(err, "endless response")
 	}
 	defer func() { _ = conn.Close() }()
+	defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
 	r.send(ctx, conn, rate, func(int) {})
 	return nil
 }
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -23,6 +23,7 @@
 
 	hbs "github.com/hornbeamstage/hornbeamstage"
 	"github.com/hornbeamstage/hornbeamstage/delay"
+	"github.com/hornbeamstage/hornbeamstage/standin/endless"
 )
 
 // Shape holds the capacity and speed of an engine.
@@ -111,6 +112,7 @@
 	runs         []*Run
 	orders       []OrderRecord
 	faults       faults
+	endless      endless.Fault
 	// kvIdleAt is when the last transfer queued between the engine and KV ends.
 	kvIdleAt time.Time
 	// publishedBytes counts the bytes of connections for load reports and cache
@@ -154,8 +156,8 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	srv := &http.Server{Handler: e.handler(), ConnContext: withConn}
 	var wg conc.WaitGroup
+	srv := &http.Server{Handler: e.endless.Handler(ctx, &wg, e.handler()), ConnContext: withConn}
 	wg.Go(func() { _ = srv.Serve(&countingListener{l, &e.publishedBytes}) })
 	wg.Go(func() { e.runSteps(ctx) })
 	select {
--- a/standin/engine/faults.go
+++ b/standin/engine/faults.go
@@ -1,6 +1,13 @@
 package engine
 
-import "time"
+import (
+	"time"
+
+	"github.com/hornbeamstage/hornbeamstage/standin/endless"
+)
+
+// endlessEvent is a stream of events with one event that never ends.
+var endlessEvent = endless.Body("200 OK", "Content-Type: text/event-stream\r\n", "x")
 
 // faults holds the injected faults of an engine. It is guarded by the engine's
 // mutex.
@@ -72,6 +79,12 @@
 	e.faults.failUntil = time.Now().Add(d)
 }
 
+// AnswerEndlessly answers everything for the next d with bytes that never end and
+// are no answer, in the header or in the body.
+func (e *Engine) AnswerEndlessly(d time.Duration) {
+	e.endless.Begin(d, endless.HeaderLines, endless.ErrorBody, endlessEvent)
+}
+
 // LoseEvents drops cache events with the probability share from now on. The
 // dropped events leave gaps in the sequence numbers.
 func (e *Engine) LoseEvents(share float64) {
--- a/standin/pool/pool.go
+++ b/standin/pool/pool.go
@@ -205,7 +205,7 @@
 	m.HandleFunc("GET /v1/kv-events", e.serveCacheEvents)
 	m.HandleFunc("/", e.serveRequest)
 	var wg conc.WaitGroup
-	srv := &http.Server{Handler: e.orEndless(ctx, &wg, m)}
+	srv := &http.Server{Handler: endless.Handler(ctx, &wg, e.endless, m)}
 	wg.Go(func() { _ = srv.Serve(l) })
 	<-ctx.Done()
 	srv.Close()
@@ -213,26 +213,14 @@
 	return ctx.Err()
 }
 
-// orEndless returns a handler that passes calls to h unless Faults.Endless is set.
-// The endless responses end with ctx, and wg waits for them.
-func (e *Endpoint) orEndless(ctx context.Context, wg *conc.WaitGroup, h http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		e.mu.Lock()
-		f := e.faults
-		e.mu.Unlock()
-		if f.Endless == nil {
-			h.ServeHTTP(w, r)
-			return
-		}
-		ended := make(chan struct{})
-		wg.Go(func() {
-			defer close(ended)
-			if err := f.Endless.Serve(ctx, w, f.EndlessRate); err != nil {
-				http.Error(w, err.Error(), http.StatusInternalServerError)
-			}
-		})
-		<-ended
-	})
+// endless returns the response without an end to the next request, if there is one.
+func (e *Endpoint) endless() (r endless.Response, rate endless.Rate, ok bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.faults.Endless == nil {
+		return endless.Response{}, endless.Rate{}, false
+	}
+	return *e.faults.Endless, e.faults.EndlessRate, true
 }
 
 func (e *Endpoint) serveReport(w http.ResponseWriter, _ *http.Request) {
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -18,6 +18,7 @@
 
 	hbs "github.com/hornbeamstage/hornbeamstage"
 	"github.com/hornbeamstage/hornbeamstage/delay"
+	"github.com/hornbeamstage/hornbeamstage/standin/endless"
 )
 
 // Call holds the parameters of a request, sent as JSON body or, if the body is
@@ -62,6 +63,7 @@
 	answers map[string]Answer
 	counts  map[string]int
 	faults  faults
+	endless endless.Fault
 	slots   chan struct{}
 	restart chan time.Duration
 }
@@ -102,13 +104,16 @@
 	if err != nil {
 		return 0, err
 	}
-	srv := &http.Server{Handler: s}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	var wg conc.WaitGroup
+	srv := &http.Server{Handler: s.endless.Handler(ctx, &wg, s)}
 	wg.Go(func() { _ = srv.Serve(l) })
 	select {
 	case <-ctx.Done():
 	case down = <-s.restart:
 	}
+	cancel()
 	srv.Close()
 	wg.Wait()
 	return down, nil
@@ -139,6 +144,12 @@
 	s.faults.dieAfter = n
 }
 
+// AnswerEndlessly answers calls of the next d, which are not executed, with bytes
+// that never end, in the header or in the body of an error.
+func (s *Service) AnswerEndlessly(d time.Duration) {
+	s.endless.Begin(d, endless.HeaderLines, endless.ErrorBody)
+}
+
 // Slow multiplies the duration of calls by factor for the next d.
 func (s *Service) Slow(factor float64, d time.Duration) {
 	s.mu.Lock()
