attempt, forward: one record of an endpoint's error

Cause: both senders had an endFailed of their own with the same lines on the same attempt.Result, and the end of a stream had them once more.

Change: Result.Fail serves the three. Behaviour is as it was.

Measured: specs of attempt, forward, dispatch and gateway pass.

--- a/attempt/attempt.go
+++ b/attempt/attempt.go
@@ -114,6 +114,12 @@
 	EventStream bool
 }
 
+// Fail records that the endpoint answered with an error.
+func (r *Result) Fail(detail string) {
+	r.End = hbs.EndFailed
+	r.Refusal = &hbs.Refusal{Outcome: hbs.OutcomeFailed, Reason: hbs.ReasonEndpointError, Detail: detail}
+}
+
 // Run implements Runner.
 func (s *Sender) Run(ctx context.Context, c *Call) Result {
 	r := &run{Sender: s, Call: c, started: time.Now()}
--- a/attempt/plain.go
+++ b/attempt/plain.go
@@ -40,7 +40,7 @@
 func (r *run) bufferError(ctx context.Context, res *http.Response) {
 	body, err := network.ReadBody(res.Body, maxErrorBytes)
 	if errors.Is(err, network.ErrTooLong) {
-		r.endFailed(http.StatusText(res.StatusCode) + ": " + err.Error())
+		r.result.Fail(http.StatusText(res.StatusCode) + ": " + err.Error())
 		return
 	}
 	if err != nil {
@@ -54,13 +54,7 @@
 		r.result.Refusal = hbs.NotRun(hbs.ReasonNoEndpoint, "the engine refused", 0)
 		return
 	}
-	r.endFailed(http.StatusText(res.StatusCode))
-}
-
-// endFailed records that the endpoint answered with an error.
-func (r *run) endFailed(detail string) {
-	r.result.End = hbs.EndFailed
-	r.result.Refusal = &hbs.Refusal{Outcome: hbs.OutcomeFailed, Reason: hbs.ReasonEndpointError, Detail: detail}
+	r.result.Fail(http.StatusText(res.StatusCode))
 }
 
 func isNotRunError(status int, body []byte) bool {
--- a/attempt/stream.go
+++ b/attempt/stream.go
@@ -104,8 +104,7 @@
 		r.result.End = hbs.EndCanceled
 		r.result.Refusal = &hbs.Refusal{Outcome: hbs.OutcomeUnknown, Reason: hbs.ReasonCanceled}
 	case errors.Is(err, relay.ErrEngine):
-		r.result.End = hbs.EndFailed
-		r.result.Refusal = &hbs.Refusal{Outcome: hbs.OutcomeFailed, Reason: hbs.ReasonEndpointError, Detail: rel.ErrorData()}
+		r.result.Fail(rel.ErrorData())
 	default:
 		r.endBroken(ctx, err)
 		r.markIncomplete()
--- a/forward/buffered.go
+++ b/forward/buffered.go
@@ -25,7 +25,7 @@
 		return
 	case res.StatusCode >= 500 && r.Request.Class == hbs.ClassRepeatable:
 		// Another endpoint may do better, but only if the caller got nothing.
-		r.endFailed(http.StatusText(res.StatusCode) + ": response is too long to be buffered")
+		r.result.Fail(http.StatusText(res.StatusCode) + ": response is too long to be buffered")
 		return
 	}
 	if err := r.passBody(res, io.MultiReader(bytes.NewReader(data), res.Body)); err != nil {
@@ -44,7 +44,7 @@
 	h := responseHeader(res.Header)
 	h.Del("Content-Length")
 	r.result.BufferedError = &attempt.ErrorResponse{Status: res.StatusCode, Header: h, Body: body}
-	r.endFailed(http.StatusText(res.StatusCode))
+	r.result.Fail(http.StatusText(res.StatusCode))
 }
 
 // passBody passes a response with the given body on.
--- a/forward/ends.go
+++ b/forward/ends.go
@@ -26,12 +26,6 @@
 	r.result.Refusal = &hbs.Refusal{Outcome: hbs.OutcomeUnknown, Reason: hbs.ReasonAnswerMismatch, Detail: detail}
 }
 
-// endFailed records that the endpoint answered with an error.
-func (r *run) endFailed(detail string) {
-	r.result.End = hbs.EndFailed
-	r.result.Refusal = &hbs.Refusal{Outcome: hbs.OutcomeFailed, Reason: hbs.ReasonEndpointError, Detail: detail}
-}
-
 // failUnreached ends an attempt that sent nothing. Only a failed connection counts
 // against the endpoint.
 func (r *run) failUnreached(ctx context.Context, err error) {
