admission: one way to remove unused entries

Cause: the queues of a controller and the flows of a lane each had the count at which unused entries are removed, and the same lines for it. timeoutRefusal took a queue that it didn't use.

Change: prune and pruner serve both. Behaviour is as it was.

Measured: specs of admission pass, the one that replaces workspaces and models and looks at the heap among them.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -52,7 +52,6 @@
 
 import (
 	"context"
-	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -85,8 +84,7 @@
 
 	mu     sync.Mutex
 	queues map[queueKey]*queue
-	// pruneAt is the number of queues at which the unused ones are removed.
-	pruneAt int
+	pruner pruner
 }
 
 type queueKey struct {
@@ -178,14 +176,10 @@
 	return q
 }
 
-// removeUnusedQueues removes unused queues each time that their number has doubled:
-// callers may name models that don't exist. The caller holds c.mu.
+// removeUnusedQueues removes unused queues: callers may name models that don't exist.
+// The caller holds c.mu.
 func (c *Controller) removeUnusedQueues(now time.Time) {
-	if len(c.queues) < c.pruneAt {
-		return
-	}
-	maps.DeleteFunc(c.queues, func(_ queueKey, q *queue) bool { return now.Sub(q.usedAt) > unusedAfter && q.isEmpty() })
-	c.pruneAt = max(minPruneAt, 2*len(c.queues))
+	prune(&c.pruner, c.queues, func(q *queue) bool { return now.Sub(q.usedAt) > unusedAfter && q.isEmpty() })
 }
 
 // Place blocks until req is placed or refused. The error is a *hbs.Refusal.
@@ -208,7 +202,7 @@
 	case <-ctx.Done():
 		return q.abandon(w, c.contextRefusal(ctx))
 	case <-timeout:
-		return q.abandon(w, c.timeoutRefusal(q))
+		return q.abandon(w, c.timeoutRefusal())
 	}
 }
 
@@ -224,7 +218,7 @@
 
 // timeoutRefusal returns the refusal for a request that reached its queue
 // deadline (rule 7).
-func (c *Controller) timeoutRefusal(*queue) *hbs.Refusal {
+func (c *Controller) timeoutRefusal() *hbs.Refusal {
 	c.count("admission_given_up", 1)
 	return hbs.NotRun(hbs.ReasonDeadline, "no endpoint became free in time", minRetryAfter)
 }
--- a/admission/lane.go
+++ b/admission/lane.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/heap"
-	"maps"
 	"time"
 
 	hbs "github.com/hornbeamstage/hornbeamstage"
@@ -17,8 +16,7 @@
 	// virtualTime is the start tag of the flow served last.
 	virtualTime float64
 	flows       map[hbs.WorkspaceID]*flow
-	// pruneAt is the number of flows at which the unused ones are removed.
-	pruneAt int
+	pruner      pruner
 	// waiting holds the flows with waiting requests.
 	waiting flowHeap
 	backlog float64
@@ -28,15 +26,9 @@
 	n int
 }
 
-// addFlow adds a flow for a workspace that has none. It removes unused flows each
-// time that their number has doubled.
+// addFlow adds a flow for a workspace that has none, and removes unused flows.
 func (l *lane) addFlow(id hbs.WorkspaceID, now time.Time) *flow {
-	if len(l.flows) >= l.pruneAt {
-		maps.DeleteFunc(l.flows, func(_ hbs.WorkspaceID, f *flow) bool {
-			return f.index < 0 && now.Sub(f.usedAt) > unusedAfter
-		})
-		l.pruneAt = max(minPruneAt, 2*len(l.flows))
-	}
+	prune(&l.pruner, l.flows, func(f *flow) bool { return f.index < 0 && now.Sub(f.usedAt) > unusedAfter })
 	f := &flow{workspace: id, index: -1, lengthRatio: 1, rank: rankHeavy}
 	l.flows[id] = f
 	return f
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -58,11 +58,6 @@
 	// them would only delay the short work of others.
 	congestedWait    = 0.04
 	congestedRefused = 0.05
-	// unusedAfter is the time without a request after which what was learned of a
-	// workspace, model or service is removed. minPruneAt is the smallest number of
-	// entries at which that is checked.
-	unusedAfter = 10 * time.Minute
-	minPruneAt  = 64
 	// levelInterval is the minimum time between two updates of the levels.
 	levelInterval = 100 * time.Millisecond
 	// rankHeavy is the rank of workspaces above all levels. Workspaces of a lower
