standin/endless: connections are closed in one place

Cause: the server and the response that another stand-in serves each closed their connection at the end and with the context, in the same two lines.

Change: closeWith serves both. Behaviour is as it was.

Measured: the specs of endless responses pass.

--- a/standin/endless/endless.go
+++ b/standin/endless/endless.go
@@ -100,8 +100,7 @@
 
 // serve waits for the first bytes of a request and sends the response.
 func (s *Server) serve(ctx context.Context, conn net.Conn) {
-	defer func() { _ = conn.Close() }()
-	defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
+	defer closeWith(ctx, conn)()
 	s.add(0, 1)
 	defer s.add(0, -1)
 	if _, err := conn.Read(make([]byte, 1)); err != nil {
@@ -133,12 +132,20 @@
 	if err != nil {
 		return errors.Wrap(err, "endless response")
 	}
-	defer func() { _ = conn.Close() }()
-	defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
+	defer closeWith(ctx, conn)()
 	r.send(ctx, conn, rate, func(int) {})
 	return nil
 }
 
+// closeWith closes conn when ctx ends or the returned function is called.
+func closeWith(ctx context.Context, conn net.Conn) (closeNow func()) {
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	return func() {
+		stop()
+		_ = conn.Close()
+	}
+}
+
 // add counts bytes and connections.
 func (s *Server) add(sent, open int) {
 	s.mu.Lock()
