--- a/forward/ends.go
+++ b/forward/ends.go
@@ -12,7 +12,7 @@
 // recordRefusal records that the endpoint did not run the attempt (rule 2).
 func (r *run) recordRefusal(a *platform.ResponseInfo) {
 	r.count(meterRefused)
-	if a.Misplaced && r.OnMismatch != nil {
+	if a.Mismatch && r.OnMismatch != nil {
 		r.OnMismatch(&r.Placement.Endpoint, a)
 	}
 	r.result.End = hbs.EndRefused
--- a/gateway/assemble.go
+++ b/gateway/assemble.go
@@ -53,10 +53,10 @@
 	leaseTime          = 3 * time.Second
 	leaseRenewInterval = 900 * time.Millisecond
 	leaseMargin        = time.Second
-	// fullLoad is the demand for one prefix, in engines, above which it gets a
+	// growDemand is the demand for one prefix, in engines, above which it gets a
 	// further home endpoint. It is low because the limit is the queueing at the
 	// home: engines load prefixes from each other in milliseconds.
-	fullLoad = 0.1
+	growDemand = 0.1
 	// bufferShare is the share of the process's memory in which responses may be
 	// buffered before they are passed on.
 	bufferShare = 0.1
@@ -109,7 +109,7 @@
 func (g *Gateway) assembleServing(self hbs.Instance) {
 	g.fleet = &placement.Placer{
 		Directory: g.directory, Policy: g.policy, Self: self, Network: g.Network, Metrics: g.Metrics,
-		Seed: g.Seed, Log: g.Log.Named("placement"), Scope: placement.ScopeRegion, EqualWeights: true, FullLoad: fullLoad,
+		Seed: g.Seed, Log: g.Log.Named("placement"), Scope: placement.ScopeRegion, EqualWeights: true, GrowDemand: growDemand,
 		TransferRate: g.routes.transferRate, StoreReported: true, HasStore: func() bool { return g.routes.kvStore() != nil },
 	}
 	sender := &forward.Sender{
--- a/heat/heat.go
+++ b/heat/heat.go
@@ -16,8 +16,8 @@
 //     the run, now at another, and every longer prefix would move to other
 //     endpoints.
 //  4. The size of a set is a power of two. It doubles until the demand for each
-//     endpoint is at most FullLoad. It is halved only when the demand for each
-//     endpoint of the smaller set is below ShrinkLoad; the distance of the two
+//     endpoint is at most GrowDemand. It is halved only when the demand for each
+//     endpoint of the smaller set is below ShrinkDemand; the distance of the two
 //     thresholds prevents flapping.
 //  5. A level that was never seen has size 1. If the level above, the next shorter
 //     prefix, is known only from peers, it is taken as part of that level's run
@@ -38,8 +38,8 @@
 
 // The thresholds of rule 4, in engines of demand for each endpoint of a set.
 const (
-	FullLoad   = 1.2
-	ShrinkLoad = 0.8
+	GrowDemand   = 1.2
+	ShrinkDemand = 0.8
 )
 
 const (
@@ -95,10 +95,10 @@
 // Tracker tracks the demand of one instance and its peers, by level. It is not
 // safe for concurrent use.
 type Tracker struct {
-	// FullLoad replaces the constant FullLoad and scales ShrinkLoad in proportion.
+	// GrowDemand replaces the constant GrowDemand and scales ShrinkDemand in proportion.
 	// A lower value suits deployments where a copy of a prefix costs less than
 	// waiting. 0 keeps the defaults.
-	FullLoad float64
+	GrowDemand float64
 
 	levels map[hbs.LevelKey]*levelState
 	peers  map[hbs.InstanceID]peerDigest
@@ -193,10 +193,10 @@
 }
 
 // demandScale returns the factor by which demand is multiplied before it is
-// compared with FullLoad and ShrinkLoad; see Tracker.FullLoad.
+// compared with GrowDemand and ShrinkDemand; see Tracker.GrowDemand.
 func (t *Tracker) demandScale() float64 {
-	if t.FullLoad > 0 {
-		return FullLoad / t.FullLoad
+	if t.GrowDemand > 0 {
+		return GrowDemand / t.GrowDemand
 	}
 	return 1
 }
@@ -220,10 +220,10 @@
 func (s *levelState) resize(now time.Time, scale float64) int {
 	s.decay(now)
 	load := scale * s.total()
-	for load > FullLoad*float64(s.size) {
+	for load > GrowDemand*float64(s.size) {
 		s.size *= 2
 	}
-	for s.size > 1 && load < ShrinkLoad*float64(s.size)/2 {
+	for s.size > 1 && load < ShrinkDemand*float64(s.size)/2 {
 		s.size /= 2
 	}
 	return s.size
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -96,9 +96,9 @@
 	// is for instances that do not exchange digests: weights that each of them
 	// derived from its own demand would give one prefix different home sets.
 	EqualWeights bool
-	// FullLoad is the demand for each endpoint, in engines, above which the
+	// GrowDemand is the demand for each endpoint, in engines, above which the
 	// home set of a prefix grows; 0 selects the default of package heat.
-	FullLoad float64
+	GrowDemand float64
 	// StoreReported means that SetStored reports the contents of the shared KV cache
 	// store, so that engines may load from it only what it is known to have.
 	StoreReported bool
@@ -158,7 +158,7 @@
 	p.groups = map[groupKey]*group{}
 	p.table = belief.NewTable(int(p.Policy.Number(keyBeliefs, hbs.Scope{})), time.Now())
 	p.heat = heat.NewTracker()
-	p.heat.FullLoad = p.FullLoad
+	p.heat.GrowDemand = p.GrowDemand
 	p.placedAttempts = map[hbs.AttemptID]*placedAttempt{}
 	p.stored = storedPrefixes{}
 }
--- a/weights/drain.go
+++ b/weights/drain.go
@@ -81,7 +81,7 @@
 			return errWithdrawn
 		case status.Idle():
 			return nil
-		case len(status.Busy) == 0 && elapsed >= r.duration(KnobUnheardWait, e):
+		case len(status.Busy) == 0 && elapsed >= r.duration(KnobUnreportedWait, e):
 			r.inc(meterUnreported)
 			r.Log.Warn("giving an order to a drained engine although some instances have not reported their work there", zap.String("endpoint", string(e.ID)), zap.Any("unheard", status.Unreported))
 			return nil
--- a/weights/rollout.go
+++ b/weights/rollout.go
@@ -244,7 +244,7 @@
 
 func (r *Rollout) drainLimit(model hbs.ModelName) int {
 	n := countServing(r.Directory.Roster(), model, findDesired(r.Desired(), model))
-	share := int(float64(n) * r.Policy.Number(KnobOutShare, hbs.Scope{Model: model}))
+	share := int(float64(n) * r.Policy.Number(KnobDrainShare, hbs.Scope{Model: model}))
 	return max(1, min(share, n-1))
 }
 
