roster: what rules 5 and 6 make of an engine's weights is logged

Cause: a report that a request began on replaced weights can have several causes: the engine was in use because no other had newer weights, it was in use because its weights weren't known to be too old yet, or a request waited at it. No log line told which engines rule 6 excludes or leaves in use, nor how late an instance learns of a version.

Change: "state of weights changed" tells each change of an engine's state by rules 5 and 6, "weights named" the longest time for which the version can have been published.

Measured: the new spec of roster; specs of roster, gateway and catalog pass.

--- a/gateway/assemble.go
+++ b/gateway/assemble.go
@@ -107,7 +107,10 @@
 	}
 	g.presence = &presence.Counter{Platform: g.store, Self: self.ID, Log: g.Log.Named("presence")}
 	g.versions = &weightsVersions{Converge: s.Bounds.ConvergeTime}
-	g.directory = &roster.Directory{Self: self, RecoveryGrace: recordReturnTime, ChangeTimeout: converge.MaxChangeTime, TooOld: g.versions.tooOld, Rollouts: g.rollouts}
+	g.directory = &roster.Directory{
+		Self: self, RecoveryGrace: recordReturnTime, ChangeTimeout: converge.MaxChangeTime,
+		TooOld: g.versions.tooOld, Rollouts: g.rollouts, Log: g.Log.Named("roster"),
+	}
 	g.routes = &routeState{Suspended: g.Suspended}
 }
 
--- a/gateway/objecthandlers.go
+++ b/gateway/objecthandlers.go
@@ -155,6 +155,15 @@
 		return
 	}
 	if g.versions.add(n, notBefore) {
-		g.Log.Info("weights named", zap.String("model", string(n.Model)), zap.Int64("version", n.Version), zap.Uint64("revision", uint64(obj.Revision)))
+		g.Log.Info("weights named", zap.String("model", string(n.Model)), zap.Int64("version", n.Version), zap.Uint64("revision", uint64(obj.Revision)),
+			zap.Bool("found_at_start", notBefore.IsZero()), zap.Duration("age_at_most", ageAtMost(notBefore)))
 	}
 }
+
+// ageAtMost returns the time since notBefore, 0 if that is not known.
+func ageAtMost(notBefore time.Time) time.Duration {
+	if notBefore.IsZero() {
+		return 0
+	}
+	return time.Since(notBefore)
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -30,6 +30,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	hbs "github.com/hornbeamstage/hornbeamstage"
 )
 
@@ -49,6 +51,8 @@
 	// Rollouts returns the rollout state of the engines with older weights than the
 	// newest version (rule 7); nil means that there are none.
 	Rollouts func([]hbs.Endpoint) map[hbs.EndpointID]hbs.Rollout
+	// Log may be nil.
+	Log *zap.Logger
 
 	once sync.Once
 
@@ -60,8 +64,8 @@
 	missing map[hbs.EndpointID]time.Time
 	// changes has the announced changes of weights (rule 5).
 	changes map[hbs.EndpointID]pendingChange
-	// excluded has the engines that get no new work in roster, by rules 5 and 6.
-	excluded map[hbs.EndpointID]bool
+	// weights has the engines in roster to which rule 5 or 6 applies.
+	weights map[hbs.EndpointID]weightsState
 	// rollouts has the marks of rule 7 in roster.
 	rollouts map[hbs.EndpointID]hbs.Rollout
 	// recoveredAt is when the platform last became reachable after an outage.
@@ -217,36 +221,11 @@
 			dropped = true
 		}
 	}
-	if dropped || !maps.Equal(d.excluded, d.findExcluded()) || !maps.Equal(d.rollouts, d.findRollouts(d.roster.Endpoints)) {
+	if dropped || !maps.Equal(d.weights, d.findWeightsStates()) || !maps.Equal(d.rollouts, d.findRollouts(d.roster.Endpoints)) {
 		d.publish()
 	}
 }
 
-// findExcluded returns the engines that get no new work by rules 5 and 6. The
-// caller holds mu.
-func (d *Directory) findExcluded() map[hbs.EndpointID]bool {
-	excluded, tooOld := map[hbs.EndpointID]bool{}, map[hbs.EndpointID]bool{}
-	hasNewer := map[hbs.ModelName]bool{}
-	now := time.Now()
-	for id, e := range d.records {
-		switch c, ok := d.changes[id]; {
-		case e.Kind != hbs.KindEngine || e.State != hbs.StateLive:
-		case ok && c.from == e.Weights && now.Before(c.until):
-			excluded[id] = true
-		case d.TooOld != nil && d.TooOld(&e):
-			tooOld[id] = true
-		default:
-			hasNewer[e.Model] = true
-		}
-	}
-	for id := range tooOld {
-		if hasNewer[d.records[id].Model] {
-			excluded[id] = true
-		}
-	}
-	return excluded
-}
-
 // SetReportedWeights records that an endpoint reported the weights now where
 // its record says was (rule 4). now may be empty if it is unknown; the call has
 // no effect then.
@@ -266,9 +245,9 @@
 // publish builds the roster from the records. The caller holds mu.
 func (d *Directory) publish() {
 	r := &hbs.Roster{Instances: []hbs.Instance{d.Self}}
-	d.excluded = d.findExcluded()
+	d.updateWeightsStates()
 	for id, e := range d.records {
-		if d.excluded[id] {
+		if d.weights[id].excluded() {
 			e.State = hbs.StateDraining
 		}
 		r.Endpoints = append(r.Endpoints, e)
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -8,6 +8,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	hbs "github.com/hornbeamstage/hornbeamstage"
 	"github.com/hornbeamstage/hornbeamstage/roster"
@@ -129,6 +131,26 @@
 		})
 	})
 
+	// Guards against work on replaced weights that no log line explains.
+	It("logs when an engine's weights are too old, and whether it stays in use (rule 6)", func() {
+		withDirectory(func(g *WithT, d *roster.Directory) {
+			core, logs := observer.New(zap.InfoLevel)
+			d.Log = zap.New(core)
+			d.TooOld = func(e *hbs.Endpoint) bool { return e.Weights == "1" }
+			d.Put(engine("a", "1"))
+			d.Put(engine("b", "2"))
+			d.ApplyTimeouts()
+			d.Put(engine("a", "2"))
+			var seen []any
+			for _, l := range logs.FilterMessage("state of weights changed").All() {
+				f := l.ContextMap()
+				g.Expect(f).To(HaveKeyWithValue("endpoint", "a"))
+				seen = append(seen, f["to"], f["new_work"])
+			}
+			g.Expect(seen).To(Equal([]any{"overdue_in_use", true, "overdue", false, "", true}))
+		})
+	})
+
 	It("marks the engines that are next to change their weights, until they change (rule 7)", func() {
 		withDirectory(func(g *WithT, d *roster.Directory) {
 			d.ChangeTimeout = time.Minute
--- /dev/null
+++ b/roster/weights.go
@@ -0,0 +1,79 @@
+package roster
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	hbs "github.com/hornbeamstage/hornbeamstage"
+)
+
+// weightsState is what rules 5 and 6 say of an engine.
+type weightsState string
+
+const (
+	// weightsCurrent is the state of an engine to which neither rule applies.
+	weightsCurrent weightsState = ""
+	// weightsChanging engines get no new work by rule 5.
+	weightsChanging weightsState = "changing"
+	// weightsOverdue engines get no new work by rule 6.
+	weightsOverdue weightsState = "overdue"
+	// weightsOverdueInUse engines get new work although their weights are too old,
+	// since no engine of their model has newer ones (rule 6).
+	weightsOverdueInUse weightsState = "overdue_in_use"
+)
+
+// excluded reports whether an engine in this state gets no new work.
+func (s weightsState) excluded() bool { return s == weightsChanging || s == weightsOverdue }
+
+// findWeightsStates returns the engines to which rule 5 or 6 applies. The caller
+// holds mu.
+func (d *Directory) findWeightsStates() map[hbs.EndpointID]weightsState {
+	states := map[hbs.EndpointID]weightsState{}
+	hasNewer := map[hbs.ModelName]bool{}
+	now := time.Now()
+	for id, e := range d.records {
+		switch c, ok := d.changes[id]; {
+		case e.Kind != hbs.KindEngine || e.State != hbs.StateLive:
+		case ok && c.from == e.Weights && now.Before(c.until):
+			states[id] = weightsChanging
+		case d.TooOld != nil && d.TooOld(&e):
+			states[id] = weightsOverdue
+		default:
+			hasNewer[e.Model] = true
+		}
+	}
+	for id, s := range states {
+		if s == weightsOverdue && !hasNewer[d.records[id].Model] {
+			states[id] = weightsOverdueInUse
+		}
+	}
+	return states
+}
+
+// updateWeightsStates sets weights and logs what has changed. The caller holds mu.
+func (d *Directory) updateWeightsStates() {
+	old := d.weights
+	d.weights = d.findWeightsStates()
+	if d.Log == nil {
+		return
+	}
+	for id, now := range d.weights {
+		if was := old[id]; was != now {
+			d.logWeightsState(id, was, now)
+		}
+	}
+	for id, was := range old {
+		if _, ok := d.weights[id]; !ok {
+			d.logWeightsState(id, was, weightsCurrent)
+		}
+	}
+}
+
+// logWeightsState logs a new state of an engine. The caller holds mu.
+func (d *Directory) logWeightsState(id hbs.EndpointID, was, now weightsState) {
+	e, listed := d.records[id]
+	d.Log.Info("state of weights changed", zap.String("endpoint", string(id)), zap.String("model", string(e.Model)),
+		zap.String("weights", string(e.Weights)), zap.Bool("listed", listed),
+		zap.String("from", string(was)), zap.String("to", string(now)), zap.Bool("new_work", listed && !now.excluded()))
+}
