gateway: no request goes to an engine where it may begin on weights that are due

What callers saw: an answer made on weights that should have been replaced.

Cause: engines whose weights should have been replaced get no new requests from startMargin before that moment, 2 s. A request waits at an engine for as long as its caller waits for the first event, and that is told by the route: the longest of 2 s, four times its latency objective and eight times its longest gap. With an objective of 1 s a request sent 13 s after the publication began up to 17 s after it, 15 s allowed. Where callers wait for 2 s, nothing was left for the time until the roster is updated (250 ms) and the connection made (200 ms). A constant stood for a time that is configured elsewhere.

Change: the margin is the longest time that callers of streams wait by the current routes, and the time until an engine that has become overdue gets nothing more; at most half of the time to replace weights.

--- a/gateway/assemble.go
+++ b/gateway/assemble.go
@@ -106,12 +106,12 @@
 		Policy: g.policy, Metrics: g.Metrics,
 	}
 	g.presence = &presence.Counter{Platform: g.store, Self: self.ID, Log: g.Log.Named("presence")}
-	g.versions = &weightsVersions{Converge: s.Bounds.ConvergeTime}
+	g.routes = &routeState{Suspended: g.Suspended}
+	g.versions = &weightsVersions{Converge: s.Bounds.ConvergeTime, EventTimeout: g.routes.eventTimeout}
 	g.directory = &roster.Directory{
 		Self: self, RecoveryGrace: recordReturnTime, ChangeTimeout: converge.MaxChangeTime,
 		TooOld: g.versions.tooOld, Rollouts: g.rollouts, Log: g.Log.Named("roster"),
 	}
-	g.routes = &routeState{Suspended: g.Suspended}
 }
 
 // assembleServing builds the request path.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -215,15 +215,25 @@
 // 4 attempts for a stream, which can be resumed; stream-once allows one attempt.
 // Routes write (not idempotent) and read (idempotent) lead to the plain service.
 func (f *fleet) publishRoutes(version int, keys ...string) {
-	f.publishRoutesWithTimeout(version, routeTimeout, keys...)
+	f.publishRouteTable(version, routeTimeout, 0, keys...)
 }
 
 // publishRoutesWithTimeout is like publishRoutes, with another timeout of all routes.
 func (f *fleet) publishRoutesWithTimeout(version int, timeout time.Duration, keys ...string) {
+	f.publishRouteTable(version, timeout, 0, keys...)
+}
+
+// publishRoutesWithObjective is like publishRoutes, with the good key and a latency
+// objective of all routes.
+func (f *fleet) publishRoutesWithObjective(version int, objective time.Duration) {
+	f.publishRouteTable(version, routeTimeout, objective, goodKey)
+}
+
+func (f *fleet) publishRouteTable(version int, timeout, objective time.Duration, keys ...string) {
 	route := func(name, kind, service string, attempts int, resumable bool) map[string]any {
 		return map[string]any{
 			"name": name, "host": "h.example", "path-prefix": "/" + name + "/", "kind": kind, "service": service,
-			"timeout-ms": timeout.Milliseconds(), "max-attempts": attempts, "resumable": resumable,
+			"timeout-ms": timeout.Milliseconds(), "target-latency-ms": objective.Milliseconds(), "max-attempts": attempts, "resumable": resumable,
 		}
 	}
 	services := []any{
--- /dev/null
+++ b/gateway/overdue_test.go
@@ -0,0 +1,60 @@
+package gateway_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hornbeamstage/hornbeamstage/standin/pool"
+)
+
+// lateRuns sends many requests, with prompts that share nothing, until after the time
+// in which engines have to replace their weights. The callers wait for the first
+// event for wait, and engines make it shortly before that. Two of the engines never
+// replace their weights; lateRuns returns how long after the publication of newer
+// ones they began the last request.
+func (f *fleet) lateRuns(wait time.Duration) (latest time.Duration) {
+	old := f.engines[:2]
+	f.fail(old, pool.Faults{Busy: true})
+	for _, e := range f.engines {
+		e.Work = wait - 10*time.Millisecond
+	}
+	f.publishWeights(2)
+	start := time.Now()
+	for n := 0; time.Since(start) < convergeTime+wait; n++ {
+		f.wg.Go(func() {
+			c := streamCall(n % len(f.instances))
+			c.id = fmt.Sprintf("late%d", n)
+			c.header["X-Prefix-Hash"] = fmt.Sprintf("a%d:300", n)
+			c.disconnectAfter = wait
+			f.send(c)
+		})
+		time.Sleep(50 * time.Millisecond)
+	}
+	time.Sleep(wait)
+	for _, e := range old {
+		for _, r := range e.Runs() {
+			latest = max(latest, r.Arrived.Add(e.Work).Sub(start))
+		}
+	}
+	return latest
+}
+
+var _ = Describe("engines with weights that should have been replaced", func() {
+	// Guards against work on replaced weights (VERSION): a request began at an engine
+	// that was in use when it was sent, after as long a wait as its caller bears.
+	DescribeTable("begin no request too late, however long callers wait for the first event", func(objective, wait time.Duration) {
+		for phase := range 8 {
+			withFleet(func(f *fleet) {
+				f.publishRoutesWithObjective(2, objective)
+				time.Sleep(settleTime + time.Duration(phase)*250*time.Millisecond)
+				f.Expect(f.lateRuns(wait)).To(BeNumerically("<=", convergeTime))
+			})
+		}
+	},
+		Entry("the least time that callers wait", time.Duration(0), 2*time.Second),
+		Entry("callers that wait longer", time.Second, 4*time.Second),
+	)
+})
--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -15,6 +15,10 @@
 	// Converge is the time after a version's publication within which engines
 	// must have replaced older weights; 0 means there is no limit.
 	Converge time.Duration
+	// EventTimeout returns the longest time that callers of streams wait for an
+	// event, and so the longest time that a request waits at an engine before it
+	// begins.
+	EventTimeout func() time.Duration
 
 	mu      sync.Mutex
 	byModel map[hbs.ModelName][]publication
@@ -28,10 +32,19 @@
 	notBefore time.Time
 }
 
-// startMargin is how long before the end of Converge an engine with older
-// weights stops receiving new requests, as a request may queue at the engine
-// before it runs.
-const startMargin = 2 * time.Second
+// sendDelay is the longest time in which a request is still sent to an engine whose
+// weights have become too old: until the roster is updated and the connection made.
+const sendDelay = expireInterval + connectTimeout
+
+// maxMarginShare bounds startMargin as a share of Converge, so that callers who wait
+// very long don't exclude engines that could still serve most of the others.
+const maxMarginShare = 0.5
+
+// startMargin returns how long before the end of Converge an engine with older
+// weights stops receiving new requests.
+func (v *weightsVersions) startMargin() time.Duration {
+	return min(v.EventTimeout()+sendDelay, time.Duration(maxMarginShare*float64(v.Converge)))
+}
 
 // add records a version that was not yet published at notBefore. It reports
 // whether the version is newer than those already recorded; others are ignored.
@@ -60,7 +73,7 @@
 
 // overdue reports whether engines should have loaded the version by now.
 func (v *weightsVersions) overdue(n publication) bool {
-	return v.Converge > 0 && time.Since(n.notBefore) > v.Converge-startMargin
+	return v.Converge > 0 && time.Since(n.notBefore) > v.Converge-v.startMargin()
 }
 
 // newest returns the newest version of a model, 0 if there is none. v.mu must
--- a/standin/pool/pool.go
+++ b/standin/pool/pool.go
@@ -29,6 +29,8 @@
 	// After is the number of the last event that the caller had received, 0 unless the
 	// request resumes a stream.
 	After int
+	// Arrived is when the request arrived.
+	Arrived time.Time
 }
 
 // Faults are the injected faults. They apply to all requests until they are
@@ -317,7 +319,7 @@
 	}
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	e.logCacheEvents(r.Header)
-	e.runs = append(e.runs, Run{r.Header.Get("X-Request-Id"), r.RequestURI, string(body), r.Header.Clone(), after})
+	e.runs = append(e.runs, Run{r.Header.Get("X-Request-Id"), r.RequestURI, string(body), r.Header.Clone(), after, time.Now()})
 	return false, e.faults
 }
 
