gateway: time suspended counts towards the time in which weights are replaced

What callers saw: after a machine had been suspended, answers made on weights that should have been replaced long ago.

Cause: the age of a published version was measured on the monotonic clock, which stands still while the machine is suspended. An instance that was suspended for 6 s went on for 6 s too long. The ages of the route table and of the lease's grant take the suspension into account; this one was forgotten.

Change: a publication holds the time suspended so far beside the monotonic time, and its age adds what has come since.

Measured, before: a request began 20.14 s after the publication, 15 s allowed. After: the spec passes, as do all specs of gateway.

--- a/gateway/assemble.go
+++ b/gateway/assemble.go
@@ -107,7 +107,7 @@
 	}
 	g.presence = &presence.Counter{Platform: g.store, Self: self.ID, Log: g.Log.Named("presence")}
 	g.routes = &routeState{Suspended: g.Suspended}
-	g.versions = &weightsVersions{Converge: s.Bounds.ConvergeTime, EventTimeout: g.routes.eventTimeout}
+	g.versions = &weightsVersions{Converge: s.Bounds.ConvergeTime, EventTimeout: g.routes.eventTimeout, Suspended: g.Suspended}
 	g.directory = &roster.Directory{
 		Self: self, RecoveryGrace: recordReturnTime, ChangeTimeout: converge.MaxChangeTime,
 		TooOld: g.versions.tooOld, Rollouts: g.rollouts, Log: g.Log.Named("roster"),
--- a/gateway/objecthandlers.go
+++ b/gateway/objecthandlers.go
@@ -139,16 +139,16 @@
 func (g *Gateway) versionHandler() objectHandler {
 	// asOf is when the versions were last known to be the newest; zero before
 	// the first listing.
-	var asOf time.Time
+	var asOf moment
 	return &upsertHandler{
 		put:     func(obj *hbs.Object) { g.applyVersion(obj, asOf) },
-		confirm: func(at time.Time) { asOf = at },
+		confirm: func(at time.Time) { asOf = moment{at, g.Suspended()} },
 	}
 }
 
 // applyVersion adds the weights version in obj, which was not yet published at
 // notBefore.
-func (g *Gateway) applyVersion(obj *hbs.Object, notBefore time.Time) {
+func (g *Gateway) applyVersion(obj *hbs.Object, notBefore moment) {
 	n, err := platform.DecodeDesiredWeights(obj.Value)
 	if err != nil {
 		g.Log.Error("weights version not decoded", zap.Uint64("revision", uint64(obj.Revision)), zap.Error(err))
@@ -156,14 +156,14 @@
 	}
 	if g.versions.add(n, notBefore) {
 		g.Log.Info("weights named", zap.String("model", string(n.Model)), zap.Int64("version", n.Version), zap.Uint64("revision", uint64(obj.Revision)),
-			zap.Bool("found_at_start", notBefore.IsZero()), zap.Duration("age_at_most", ageAtMost(notBefore)))
+			zap.Bool("found_at_start", notBefore == moment{}), zap.Duration("age_at_most", g.ageAtMost(notBefore)))
 	}
 }
 
 // ageAtMost returns the time since notBefore, 0 if that is not known.
-func ageAtMost(notBefore time.Time) time.Duration {
-	if notBefore.IsZero() {
+func (g *Gateway) ageAtMost(notBefore moment) time.Duration {
+	if notBefore == (moment{}) {
 		return 0
 	}
-	return time.Since(notBefore)
+	return g.versions.elapsed(notBefore)
 }
--- a/gateway/overdue_test.go
+++ b/gateway/overdue_test.go
@@ -10,12 +10,17 @@
 	"github.com/hornbeamstage/hornbeamstage/standin/pool"
 )
 
+// suspendedAfter is the time after the publication of new weights at which lateRuns
+// suspends the machines; engines that load new weights have them by then.
+const suspendedAfter = 4 * time.Second
+
 // lateRuns sends many requests, with prompts that share nothing, until after the time
 // in which engines have to replace their weights. The callers wait for the first
-// event for wait, and engines make it shortly before that. Two of the engines never
-// replace their weights; lateRuns returns how long after the publication of newer
-// ones they began the last request.
-func (f *fleet) lateRuns(wait time.Duration) (latest time.Duration) {
+// event for wait, and engines make it shortly before that. The machines are suspended
+// once, for the time suspended. Two of the engines never replace their weights;
+// lateRuns returns how long after the publication of newer ones they began the last
+// request.
+func (f *fleet) lateRuns(wait, suspended time.Duration) (latest time.Duration) {
 	old := f.engines[:2]
 	f.fail(old, pool.Faults{Busy: true})
 	for _, e := range f.engines {
@@ -23,6 +28,7 @@
 	}
 	f.publishWeights(2)
 	start := time.Now()
+	time.AfterFunc(suspendedAfter, func() { f.suspend(suspended) })
 	for n := 0; time.Since(start) < convergeTime+wait; n++ {
 		f.wg.Go(func() {
 			c := streamCall(n % len(f.instances))
@@ -36,7 +42,11 @@
 	time.Sleep(wait)
 	for _, e := range old {
 		for _, r := range e.Runs() {
-			latest = max(latest, r.Arrived.Add(e.Work).Sub(start))
+			began := r.Arrived.Add(e.Work).Sub(start)
+			if began > suspendedAfter {
+				began += suspended
+			}
+			latest = max(latest, began)
 		}
 	}
 	return latest
@@ -50,11 +60,20 @@
 			withFleet(func(f *fleet) {
 				f.publishRoutesWithObjective(2, objective)
 				time.Sleep(settleTime + time.Duration(phase)*250*time.Millisecond)
-				f.Expect(f.lateRuns(wait)).To(BeNumerically("<=", convergeTime))
+				f.Expect(f.lateRuns(wait, 0)).To(BeNumerically("<=", convergeTime))
 			})
 		}
 	},
 		Entry("the least time that callers wait", time.Duration(0), 2*time.Second),
 		Entry("callers that wait longer", time.Second, 4*time.Second),
 	)
+
+	// Guards against work on replaced weights (VERSION): the time for which a machine
+	// was suspended didn't count towards the time in which weights are replaced.
+	It("begin no request too late at instances that were suspended", func() {
+		withFleet(func(f *fleet) {
+			f.Expect(f.lateRuns(2*time.Second, 6*time.Second)).To(BeNumerically("<=", convergeTime))
+			f.Expect(f.versions()).To(Equal([]int64{1, 1, 2, 2}))
+		})
+	})
 })
--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -19,17 +19,29 @@
 	// event, and so the longest time that a request waits at an engine before it
 	// begins.
 	EventTimeout func() time.Duration
+	// Suspended returns the total time for which the machine has been
+	// suspended. The monotonic clock doesn't advance while it is.
+	Suspended func() time.Duration
 
 	mu      sync.Mutex
 	byModel map[hbs.ModelName][]publication
 }
 
-// publication is a weights version and a time at which it was not yet
-// published. The time is zero for versions read when the instance starts, since
-// they may be of any age.
+// publication is a weights version and a moment at which it was not yet
+// published.
 type publication struct {
 	version   int64
-	notBefore time.Time
+	notBefore moment
+}
+
+// moment is a point in time from which the elapsed time can be told even if the
+// machine was suspended in between. The zero value is so long ago that all limits
+// have passed; it is used for versions read when the instance starts, since they may
+// be of any age.
+type moment struct {
+	at time.Time
+	// suspended is the total time for which the machine had been suspended then.
+	suspended time.Duration
 }
 
 // sendDelay is the longest time in which a request is still sent to an engine whose
@@ -48,7 +60,7 @@
 
 // add records a version that was not yet published at notBefore. It reports
 // whether the version is newer than those already recorded; others are ignored.
-func (v *weightsVersions) add(n platform.DesiredWeights, notBefore time.Time) bool {
+func (v *weightsVersions) add(n platform.DesiredWeights, notBefore moment) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.byModel == nil {
@@ -73,7 +85,12 @@
 
 // overdue reports whether engines should have loaded the version by now.
 func (v *weightsVersions) overdue(n publication) bool {
-	return v.Converge > 0 && time.Since(n.notBefore) > v.Converge-v.startMargin()
+	return v.Converge > 0 && v.elapsed(n.notBefore) > v.Converge-v.startMargin()
+}
+
+// elapsed returns the time since m, including time suspended.
+func (v *weightsVersions) elapsed(m moment) time.Duration {
+	return time.Since(m.at) + v.Suspended() - m.suspended
 }
 
 // newest returns the newest version of a model, 0 if there is none. v.mu must
--- a/gateway/versions_test.go
+++ b/gateway/versions_test.go
@@ -17,8 +17,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		wait := 2 * time.Second
-		v := &weightsVersions{Converge: 15 * time.Second, EventTimeout: func() time.Duration { return wait }}
-		v.add(platform.DesiredWeights{Model: "m", Version: 2}, time.Now())
+		v := &weightsVersions{Converge: 15 * time.Second, EventTimeout: func() time.Duration { return wait }, Suspended: func() time.Duration { return 0 }}
+		v.add(platform.DesiredWeights{Model: "m", Version: 2}, moment{at: time.Now()})
 		old := &hbs.Endpoint{Kind: hbs.KindEngine, Model: "m", Weights: "1"}
 		published, lastInUse := time.Now(), time.Duration(0)
 		for !v.tooOld(old) {
