roster: of engines that are all too old only the newest stay in use

What callers saw: answers made on weights that should have been replaced.

Cause: rule 6 keeps engines with too old weights in use if no engine of their model has newer ones. What was checked was whether an engine of the model has weights that are not too old. Where versions follow each other faster than engines change, the engines with the version before the newest become too old as well, and from then on every engine got new work, also those whose weights were due long before.

Change: an engine with too old weights is excluded if another one that gets new work has newer weights, too old or not.

--- a/roster/roster.go
+++ b/roster/roster.go
@@ -17,8 +17,8 @@
 //  5. An engine that an instance announces as changing to newer weights gets no
 //     new work, because it would refuse it, until its record has them or
 //     ChangeTimeout has passed.
-//  6. Engines whose weights are too old get no new work, unless no engine of
-//     their model has newer ones.
+//  6. An engine whose weights are too old gets no new work, unless no other engine
+//     of its model that gets new work has newer ones, be they too old as well.
 //  7. The roster marks the engines with older weights than the newest version,
 //     and among them those that are next to change.
 package roster
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -131,6 +131,23 @@
 		})
 	})
 
+	// Guards against work on replaced weights (VERSION): when the weights of all engines
+	// were too old, those with the oldest ones came into use again.
+	It("gives only the engines with the newest weights new work while all are too old (rule 6)", func() {
+		withDirectory(func(g *WithT, d *roster.Directory) {
+			d.ChangeTimeout = time.Minute
+			d.TooOld = func(*hbs.Endpoint) bool { return true }
+			d.Put(engine("a", "9"))
+			d.Put(engine("b", "10"))
+			d.Put(engine("c", "10"))
+			d.Put(engine("d", "11"))
+			d.AnnounceChange("d", "11")
+			g.Expect(states(d)).To(Equal(map[hbs.EndpointID]hbs.EndpointState{
+				"a": hbs.StateDraining, "b": hbs.StateLive, "c": hbs.StateLive, "d": hbs.StateDraining,
+			}))
+		})
+	})
+
 	// Guards against work on replaced weights that no log line explains.
 	It("logs when an engine's weights are too old, and whether it stays in use (rule 6)", func() {
 		withDirectory(func(g *WithT, d *roster.Directory) {
--- a/roster/weights.go
+++ b/roster/weights.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	hbs "github.com/hornbeamstage/hornbeamstage"
+	"github.com/hornbeamstage/hornbeamstage/platform"
 )
 
 // weightsState is what rules 5 and 6 say of an engine.
@@ -30,27 +31,38 @@
 // holds mu.
 func (d *Directory) findWeightsStates() map[hbs.EndpointID]weightsState {
 	states := map[hbs.EndpointID]weightsState{}
-	hasNewer := map[hbs.ModelName]bool{}
+	newest := map[hbs.ModelName]int64{}
 	now := time.Now()
 	for id, e := range d.records {
-		switch c, ok := d.changes[id]; {
-		case e.Kind != hbs.KindEngine || e.State != hbs.StateLive:
-		case ok && c.from == e.Weights && now.Before(c.until):
+		if e.Kind != hbs.KindEngine || e.State != hbs.StateLive {
+			continue
+		}
+		if c, ok := d.changes[id]; ok && c.from == e.Weights && now.Before(c.until) {
 			states[id] = weightsChanging
-		case d.TooOld != nil && d.TooOld(&e):
+			continue
+		}
+		if d.TooOld != nil && d.TooOld(&e) {
 			states[id] = weightsOverdue
-		default:
-			hasNewer[e.Model] = true
 		}
+		newest[e.Model] = max(newest[e.Model], versionOf(&e))
 	}
 	for id, s := range states {
-		if s == weightsOverdue && !hasNewer[d.records[id].Model] {
+		if e := d.records[id]; s == weightsOverdue && versionOf(&e) == newest[e.Model] {
 			states[id] = weightsOverdueInUse
 		}
 	}
 	return states
 }
 
+// versionOf returns the version of an engine's weights, 0 if it is not known.
+func versionOf(e *hbs.Endpoint) int64 {
+	n, err := platform.ParseWeights(e.Weights)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
 // updateWeightsStates sets weights and logs what has changed. The caller holds mu.
 func (d *Directory) updateWeightsStates() {
 	old := d.weights
