forward, gateway: a request that hasn't begun when its engine's weights are due is ended

What callers saw: an answer made on weights that should have been replaced.

An attempt has a limit for the start of its response instead, the time left until its engine's weights are due. If it still waits then and the engine is out of use, it is ended, so that the engine drops the request, and another one may follow. forward_started_late counts these. The test of the margin's sum became one of the margin and the limit together, with the same bound.

Measured, before (no limit, margin of 2 s): "callers that wait longer" began a request 15.84 s after the publication, 15 s allowed, and the spec of forward went on until the request's deadline. After: specs of forward and gateway pass.

--- a/forward/ends.go
+++ b/forward/ends.go
@@ -55,6 +55,10 @@
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		r.result.End = hbs.EndExpired
 		refusal.Reason = hbs.ReasonExpired
+	case startedLate(ctx):
+		r.count(meterStartedLate)
+		r.result.End = hbs.EndBroken
+		refusal.Detail = errStartedLate.Error()
 	case ctx.Err() != nil, errors.Is(err, errCallerLeft), errors.Is(err, errLostRace):
 		refusal.Reason = hbs.ReasonCanceled
 	default:
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -21,6 +21,9 @@
 //  7. An endpoint may send bytes without end, in the header or the body. A header
 //     longer than network.MaxHeaderBytes, an event longer than maxEvent and a
 //     response longer than attempt.max_bytes break the attempt.
+//  8. An endpoint's weights may be due for replacement at a time after which no
+//     request may begin on them. An attempt that waits at the endpoint until then is
+//     ended, so that the endpoint drops the request; another one may follow.
 package forward
 
 import (
@@ -32,6 +35,7 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -67,6 +71,13 @@
 	// OnMismatch is called when an endpoint reported that it is not the intended
 	// one, or that it has other weights; may be nil.
 	OnMismatch func(e *hbs.Endpoint, a *platform.ResponseInfo)
+	// StartLimit returns how long an attempt at e that begins now may wait for the
+	// start of its response (rule 8), 0 without a limit; nil means that no endpoint
+	// has one.
+	StartLimit func(e *hbs.Endpoint) time.Duration
+	// InUse reports whether e, as it was when an attempt began, still gets new
+	// requests. If it does, StartLimit does not end the attempt.
+	InUse func(e *hbs.Endpoint) bool
 	// BufferBytes bounds the parts of responses that all attempts together have
 	// buffered, in bytes; 0 means defaultBufferBytes.
 	BufferBytes int64
@@ -95,8 +106,10 @@
 	started time.Time
 	// lastArrival is when events of the stream last arrived.
 	lastArrival time.Time
-	result      attempt.Result
-	buffers     reservation
+	// responding is set when the response begins to arrive.
+	responding atomic.Bool
+	result     attempt.Result
+	buffers    reservation
 }
 
 // scope returns the scope in which knobs are looked up.
@@ -121,6 +134,8 @@
 		}
 	}
 	r.count(meterSent)
+	ctx, stop := r.limitStart(ctx)
+	defer stop()
 	res, err := r.exchange(ctx, conn)
 	if err != nil {
 		r.failBroken(ctx, err)
@@ -238,6 +253,7 @@
 	if r.result.FirstToken != 0 {
 		return
 	}
+	r.responding.Store(true)
 	r.result.FirstToken = max(time.Since(r.started), 1)
 	if r.FirstToken != nil {
 		r.FirstToken(r.result.FirstToken, -1)
--- a/gateway/assemble.go
+++ b/gateway/assemble.go
@@ -107,7 +107,7 @@
 	}
 	g.presence = &presence.Counter{Platform: g.store, Self: self.ID, Log: g.Log.Named("presence")}
 	g.routes = &routeState{Suspended: g.Suspended}
-	g.versions = &weightsVersions{Converge: s.Bounds.ConvergeTime, EventTimeout: g.routes.eventTimeout, Suspended: g.Suspended}
+	g.versions = &weightsVersions{Converge: s.Bounds.ConvergeTime, Suspended: g.Suspended}
 	g.directory = &roster.Directory{
 		Self: self, RecoveryGrace: recordReturnTime, ChangeTimeout: converge.MaxChangeTime,
 		TooOld: g.versions.tooOld, Rollouts: g.rollouts, Log: g.Log.Named("roster"),
@@ -126,6 +126,8 @@
 		BufferBytes: int64(bufferShare * float64(g.PlatformSettings.MemoryBytes)),
 		EventTokens: g.routes.eventTokens,
 		CacheStore:  g.routes.kvStoreAddress,
+		StartLimit:  g.startLimit,
+		InUse:       g.inUse,
 		OnMismatch: func(e *hbs.Endpoint, r *platform.ResponseInfo) {
 			g.directory.SetReportedWeights(e.ID, e.Weights, r.Weights)
 		},
--- a/gateway/overdue_test.go
+++ b/gateway/overdue_test.go
@@ -42,7 +42,7 @@
 	time.Sleep(wait)
 	for _, e := range old {
 		for _, r := range e.Runs() {
-			began := r.Arrived.Add(e.Work).Sub(start)
+			began := r.Began.Sub(start)
 			if began > suspendedAfter {
 				began += suspended
 			}
--- a/gateway/routestate.go
+++ b/gateway/routestate.go
@@ -18,8 +18,6 @@
 
 	mu    sync.Mutex
 	table *route.Table
-	// longestEventTimeout is the longest EventTimeout of the streams in table.
-	longestEventTimeout time.Duration
 	// asOf is when table was last known to be the newest, and suspended the
 	// total suspended time then.
 	asOf      time.Time
@@ -36,7 +34,7 @@
 	if s.table != nil && t.Version <= s.table.Version {
 		return false
 	}
-	s.table, s.longestEventTimeout = t, t.LongestEventTimeout()
+	s.table = t
 	if s.changed != nil {
 		close(s.changed)
 		s.changed = nil
@@ -69,14 +67,6 @@
 	return s.table
 }
 
-// eventTimeout returns the longest time that callers of streams wait for an event, 0
-// before the first table was read.
-func (s *routeState) eventTimeout() time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.longestEventTimeout
-}
-
 // age returns the time since the table was last known to be the newest,
 // including time suspended.
 func (s *routeState) age() time.Duration {
--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -15,10 +15,6 @@
 	// Converge is the time after a version's publication within which engines
 	// must have replaced older weights; 0 means there is no limit.
 	Converge time.Duration
-	// EventTimeout returns the longest time that callers of streams wait for an
-	// event, and so the longest time that a request waits at an engine before it
-	// begins.
-	EventTimeout func() time.Duration
 	// Suspended returns the total time for which the machine has been
 	// suspended. The monotonic clock doesn't advance while it is.
 	Suspended func() time.Duration
@@ -44,19 +40,9 @@
 	suspended time.Duration
 }
 
-// sendDelay is the longest time in which a request is still sent to an engine whose
-// weights have become too old: until the roster is updated and the connection made.
-const sendDelay = expireInterval + connectTimeout
-
-// maxMarginShare bounds startMargin as a share of Converge, so that callers who wait
-// very long don't exclude engines that could still serve most of the others.
-const maxMarginShare = 0.5
-
-// startMargin returns how long before the end of Converge an engine with older
-// weights stops receiving new requests.
-func (v *weightsVersions) startMargin() time.Duration {
-	return min(v.EventTimeout()+sendDelay, time.Duration(maxMarginShare*float64(v.Converge)))
-}
+// startMargin is how long before the end of Converge an engine with older weights
+// stops receiving new requests, as a request may wait at the engine before it begins.
+const startMargin = 2 * time.Second
 
 // add records a version that was not yet published at notBefore. It reports
 // whether the version is newer than those already recorded; others are ignored.
@@ -85,7 +71,7 @@
 
 // overdue reports whether engines should have loaded the version by now.
 func (v *weightsVersions) overdue(n publication) bool {
-	return v.Converge > 0 && v.elapsed(n.notBefore) > v.Converge-v.startMargin()
+	return v.Converge > 0 && v.elapsed(n.notBefore) > v.Converge-startMargin
 }
 
 // elapsed returns the time since m, including time suspended.
@@ -117,16 +103,51 @@
 
 // tooOld reports whether the weights of e should have been replaced by now.
 func (v *weightsVersions) tooOld(e *hbs.Endpoint) bool {
+	n, ok := v.replacement(e)
+	return ok && v.overdue(n)
+}
+
+// timeLeft returns the time in which requests may begin on the weights of e. ok is
+// false if there is no limit.
+func (v *weightsVersions) timeLeft(e *hbs.Endpoint) (left time.Duration, ok bool) {
+	n, ok := v.replacement(e)
+	if !ok || v.Converge <= 0 {
+		return 0, false
+	}
+	return v.Converge - v.elapsed(n.notBefore), true
+}
+
+// replacement returns the oldest publication that is newer than the weights of e, if
+// there is one. Its notBefore is the earliest one of all newer publications.
+func (v *weightsVersions) replacement(e *hbs.Endpoint) (n publication, ok bool) {
 	have, err := platform.ParseWeights(e.Weights)
 	if err != nil {
-		return false
+		return n, false
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for _, n := range v.active(e.Model) {
-		if n.version > have && v.overdue(n) {
-			return true
+		if n.version > have {
+			return n, true
 		}
 	}
-	return false
+	return n, false
+}
+
+// cancelTime is the time in which the end of an attempt reaches its engine.
+const cancelTime = 100 * time.Millisecond
+
+// startLimit returns how long a request may wait at e before it begins, 0 without a
+// limit. There is none either for an engine whose weights are due already: it is in
+// use because no other has newer ones.
+func (g *Gateway) startLimit(e *hbs.Endpoint) time.Duration {
+	left, _ := g.versions.timeLeft(e)
+	return max(0, left-cancelTime)
+}
+
+// inUse reports whether e, a copy of an earlier record, still gets new requests on the
+// weights that it had.
+func (g *Gateway) inUse(e *hbs.Endpoint) bool {
+	now := g.directory.Roster().Endpoint(e.ID)
+	return now != nil && now.State == hbs.StateLive && now.Weights == e.Weights
 }
--- a/gateway/versions_test.go
+++ b/gateway/versions_test.go
@@ -16,15 +16,17 @@
 func TestRequestsSentAtTheLastMomentBeginInTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		wait := 2 * time.Second
-		v := &weightsVersions{Converge: 15 * time.Second, EventTimeout: func() time.Duration { return wait }, Suspended: func() time.Duration { return 0 }}
+		v := &weightsVersions{Converge: 15 * time.Second, Suspended: func() time.Duration { return 0 }}
 		v.add(platform.DesiredWeights{Model: "m", Version: 2}, moment{at: time.Now()})
+		v.add(platform.DesiredWeights{Model: "m", Version: 3}, moment{at: time.Now().Add(time.Second)})
 		old := &hbs.Endpoint{Kind: hbs.KindEngine, Model: "m", Weights: "1"}
-		published, lastInUse := time.Now(), time.Duration(0)
+		published := time.Now()
 		for !v.tooOld(old) {
-			lastInUse = time.Since(published)
 			time.Sleep(10 * time.Millisecond)
 		}
-		g.Expect(lastInUse + expireInterval + connectTimeout + wait).To(BeNumerically("<=", v.Converge))
+		time.Sleep(expireInterval + connectTimeout)
+		limit := (&Gateway{versions: v}).startLimit(old)
+		g.Expect(limit).To(BeNumerically(">", 0))
+		g.Expect(time.Since(published) + limit).To(BeNumerically("<", v.Converge))
 	})
 }
--- a/route/route.go
+++ b/route/route.go
@@ -214,17 +214,6 @@
 // Service returns the service called name, or nil.
 func (t *Table) Service(name hbs.ServiceName) *Service { return t.services[name] }
 
-// LongestEventTimeout returns the longest EventTimeout of the routes of streams, 0 if
-// there are none.
-func (t *Table) LongestEventTimeout() (longest time.Duration) {
-	for i := range t.Routes {
-		if r := &t.Routes[i]; r.Stream {
-			longest = max(longest, r.EventTimeout)
-		}
-	}
-	return longest
-}
-
 // KVStore returns the first KV cache store of the table, or nil.
 func (t *Table) KVStore() *KVStore { return t.store }
 
--- a/standin/pool/pool.go
+++ b/standin/pool/pool.go
@@ -29,8 +29,9 @@
 	// After is the number of the last event that the caller had received, 0 unless the
 	// request resumes a stream.
 	After int
-	// Arrived is when the request arrived.
-	Arrived time.Time
+	// Began is when the endpoint began to respond; zero before that, or if the caller
+	// disconnected.
+	Began time.Time
 }
 
 // Faults are the injected faults. They apply to all requests until they are
@@ -270,7 +271,7 @@
 }
 
 func (e *Endpoint) serveRequest(w http.ResponseWriter, r *http.Request) {
-	refused, faults := e.admit(w, r)
+	n, refused, faults := e.admit(w, r)
 	if refused {
 		return
 	}
@@ -278,6 +279,7 @@
 		e.countCanceled()
 		return
 	}
+	e.begin(n)
 	if faults.DropAnswer {
 		panic(http.ErrAbortHandler)
 	}
@@ -295,11 +297,11 @@
 }
 
 // admit refuses a request, and then has written the response if it could read the
-// body, or records its run.
-func (e *Endpoint) admit(w http.ResponseWriter, r *http.Request) (refused bool, f Faults) {
+// body, or records its run, the n-th.
+func (e *Endpoint) admit(w http.ResponseWriter, r *http.Request) (n int, refused bool, f Faults) {
 	body := make([]byte, max(r.ContentLength, 0))
 	if _, err := r.Body.Read(body); err != nil && len(body) > 0 && r.ContentLength < 0 {
-		return true, f
+		return 0, true, f
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -311,16 +313,23 @@
 		w.Header().Set("X-Instance-Id", string(e.ID))
 		w.Header().Set("X-Weight-Versions", strconv.FormatInt(max(e.weights, 1), 10))
 		w.WriteHeader(http.StatusMisdirectedRequest)
-		return true, f
+		return 0, true, f
 	case e.faults.Shed || e.loading:
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
-		return true, f
+		return 0, true, f
 	}
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	e.logCacheEvents(r.Header)
-	e.runs = append(e.runs, Run{r.Header.Get("X-Request-Id"), r.RequestURI, string(body), r.Header.Clone(), after, time.Now()})
-	return false, e.faults
+	e.runs = append(e.runs, Run{r.Header.Get("X-Request-Id"), r.RequestURI, string(body), r.Header.Clone(), after, time.Time{}})
+	return len(e.runs) - 1, false, e.faults
+}
+
+// begin records that the endpoint begins to respond to the n-th request.
+func (e *Endpoint) begin(n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.runs[n].Began = time.Now()
 }
 
 func (e *Endpoint) countCanceled() {
