forward: a refusal counts only if it names the request

Cause: a response that said "not run" was taken as proof unless it named another request; one that named none passed. A faulty engine that repeats an earlier refusal, or writes one and runs the request, so made the caller of a non-idempotent request read 503, which promises that nothing ran. The refusal was also taken when its bytes were there before the request was sent, and when only an interim response before it named the request. A second engine was never asked for such a request.

Change: a refusal that doesn't name the request is discarded like every response that isn't the attempt's own: outcome unknown (502) where the request must not run again, another attempt under the budget where it may.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -6,7 +6,9 @@
 //  1. An attempt is intended for one incarnation of one endpoint. Another endpoint
 //     at the same address, or one with other weights, refuses it without running
 //     it.
-//  2. An attempt that was sent counts as not run only if the endpoint says so.
+//  2. An attempt that was sent counts as not run only if the endpoint says so and
+//     names the request. An endpoint may repeat an earlier refusal, or write one
+//     and run the request nevertheless.
 //  3. A response is passed to the caller only if it doesn't name another request
 //     and, when it is a success, carries the endpoint's receipt.
 //  4. A response that is not a stream is buffered until it is complete, so that the
@@ -199,6 +201,8 @@
 	switch {
 	case a.RequestID != "" && a.RequestID != r.Request.ID:
 		r.rejectResponse("the answer names another request")
+	case a.NotRun && a.RequestID != r.Request.ID:
+		r.rejectResponse("the refusal names no request")
 	case a.NotRun:
 		r.recordRefusal(&a)
 	case res.StatusCode < 400 && !a.Receipted:
--- a/standin/pool/pool.go
+++ b/standin/pool/pool.go
@@ -43,6 +43,9 @@
 	DropAnswer bool
 	// Cross answers with the identifier of another request.
 	Cross bool
+	// Answer, if not nil, answers the requests that were executed. The headers that
+	// identify the request and the endpoint are set before it is called.
+	Answer http.HandlerFunc
 	// DropOrderAnswer accepts orders but aborts the connection instead of answering.
 	DropOrderAnswer bool
 	// Busy refuses orders as if another one were in progress.
@@ -285,6 +288,10 @@
 	}
 	w.Header().Set("X-Request-Id", id)
 	w.Header().Set("X-Instance-Stamp", "made-by-"+string(e.ID))
+	if faults.Answer != nil {
+		faults.Answer(w, r)
+		return
+	}
 	if e.Model == "" {
 		_, _ = fmt.Fprintf(w, "answer to %s", id)
 		return
@@ -299,6 +306,7 @@
 	if _, err := r.Body.Read(body); err != nil && len(body) > 0 && r.ContentLength < 0 {
 		return true, f
 	}
+	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	expected := r.Header.Get("X-Expect-Instance")
