forward: an endpoint's status doesn't promise what the endpoint didn't say

Cause: an endpoint's error was passed on with its status, whatever that was. 503, 429 and 408 tell callers that the request was not run and never will be; an endpoint that ran a non-idempotent request and answered so, without saying that it did not run it, made its caller send it again.

Change: such an error is discarded; the caller gets 502 with outcome unknown and without the endpoint's receipt, or, if the request may run again, another endpoint's answer.

Measured: gateway/answers_test.go.

--- a/forward/ends.go
+++ b/forward/ends.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 
 	"github.com/cockroachdb/errors"
 
@@ -19,6 +20,13 @@
 	r.result.Refusal = hbs.NotRun(hbs.ReasonNoEndpoint, "the endpoint refused", 0)
 }
 
+// failUnproven discards an error whose status tells callers that the request was not
+// run although the endpoint doesn't say so (rule 2).
+func (r *run) failUnproven(status int) {
+	r.result.Fail(http.StatusText(status))
+	r.result.Refusal.Outcome = hbs.OutcomeUnknown
+}
+
 // rejectResponse discards a response that is not the attempt's own (rule 3).
 func (r *run) rejectResponse(detail string) {
 	r.count(meterMismatch)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -8,7 +8,8 @@
 //     it.
 //  2. An attempt that was sent counts as not run only if the endpoint says so and
 //     names the request. An endpoint may repeat an earlier refusal, or write one
-//     and run the request nevertheless.
+//     and run the request nevertheless. An error whose status alone says it to
+//     callers is not passed on.
 //  3. A response is passed to the caller only if it doesn't name another request
 //     and, when it is a success, carries the endpoint's receipt.
 //  4. A response that is not a stream is buffered until it is complete, so that the
@@ -205,6 +206,8 @@
 		r.rejectResponse("the refusal names no request")
 	case a.NotRun:
 		r.recordRefusal(&a)
+	case platform.PromisesNotRun(res.StatusCode):
+		r.failUnproven(res.StatusCode)
 	case res.StatusCode < 400 && !a.Receipted:
 		r.rejectResponse("the answer has no receipt")
 	case res.StatusCode < 400 && attempt.IsEvents(res.Header):
--- a/gateway/answers_test.go
+++ b/gateway/answers_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"bytes"
 	"net/http"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -53,3 +54,43 @@
 		})
 	})
 })
+
+// errorOf returns a handler that answers with an error status and a body of the
+// given length in bytes.
+func errorOf(status, length int) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(status)
+		_, _ = w.Write(bytes.Repeat([]byte("x"), length))
+	}
+}
+
+// longError exceeds what is buffered of a response, in bytes.
+const longError = 2 << 20
+
+// Guards against an endpoint's status by which callers send a request again that
+// has run.
+var _ = DescribeTable("an endpoint's error after it ran a non-idempotent request", func(status, length, want int) {
+	withFleet(func(f *fleet) {
+		f.fail(f.services, pool.Faults{Answer: errorOf(status, length)})
+		a := f.send(call{path: "/write/x"})
+		f.Expect(a.err).NotTo(HaveOccurred())
+		f.Expect(a.status).To(Equal(want))
+		f.Expect(allRuns(f.services)).To(HaveLen(1))
+		if want == status {
+			f.Expect(a.body).To(HaveLen(length))
+			f.Expect(a.header).To(HaveKey("X-Instance-Stamp"))
+			return
+		}
+		f.Expect(a.header.Get("X-Outcome")).To(Equal("unknown"))
+		f.Expect(a.header).NotTo(HaveKey("X-Instance-Stamp"))
+	})
+},
+	Entry("is replaced if its status says that it didn't run: 503", 503, 10, 502),
+	Entry("is replaced if its status says that it didn't run: 429", 429, 10, 502),
+	Entry("is replaced if its status says that it didn't run: 408", 408, 10, 502),
+	Entry("is replaced if its status says that it didn't run, too long to be buffered", 503, longError, 502),
+	Entry("is passed on otherwise: 500", 500, 10, 500),
+	Entry("is passed on otherwise: 504", 504, 10, 504),
+	Entry("is passed on otherwise: 422", 422, 10, 422),
+	Entry("is passed on otherwise, too long to be buffered", 500, longError, 500),
+)
