forward: only an event stream continues a stream

Cause: a broken stream is resumed at another engine, within the response that the caller has a part of. A response of that engine that was no event stream went the way of plain responses: if it was a success, a redirection or an error below 500 too long to be buffered, its body was written into the caller's stream, and the stream ended as if it were complete.

Change: while a stream is resumed, any response but an event stream with status 200 ends the attempt without a byte to the caller. An error is an error as before; another response counts as one that is not the attempt's own, and a third engine may be asked.

--- a/forward/ends.go
+++ b/forward/ends.go
@@ -27,6 +27,15 @@
 	r.result.Refusal.Outcome = hbs.OutcomeUnknown
 }
 
+// failResumption discards a response that doesn't continue the stream (rule 5).
+func (r *run) failResumption(status int) {
+	if status < 400 {
+		r.rejectResponse("the answer doesn't continue the stream")
+		return
+	}
+	r.result.Fail(http.StatusText(status))
+}
+
 // rejectResponse discards a response that is not the attempt's own (rule 3).
 func (r *run) rejectResponse(detail string) {
 	r.count(meterMismatch)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -18,7 +18,8 @@
 //     attempts together exceed Sender.BufferBytes.
 //  5. Events are passed on complete and in order as they arrive. A broken stream
 //     ends without a regular end, which the caller can detect, unless another
-//     attempt can resume after the last event that was passed on.
+//     attempt can resume after the last event that was passed on. Nothing but a
+//     stream becomes part of a stream that was started.
 //  6. A stream without events for a while is not a reason to end an attempt. Only
 //     the deadline or the caller ends it.
 //  7. An endpoint may send bytes without end, in the header or the body. A header
@@ -210,6 +211,8 @@
 		r.failUnproven(res.StatusCode)
 	case res.StatusCode < 400 && !a.Receipted:
 		r.rejectResponse("the answer has no receipt")
+	case r.ResumeAfter != "" && !continuesStream(res):
+		r.failResumption(res.StatusCode)
 	case res.StatusCode < 400 && attempt.IsEvents(res.Header):
 		r.passStream(ctx, res)
 	default:
@@ -217,6 +220,12 @@
 	}
 }
 
+// continuesStream reports whether a response can continue a stream of which the
+// caller has a part.
+func continuesStream(res *http.Response) bool {
+	return res.StatusCode == http.StatusOK && attempt.IsEvents(res.Header)
+}
+
 // startResponse starts the response to the caller, unless an earlier attempt did and
 // this one resumes it.
 func (r *run) startResponse(res *http.Response) error {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -151,7 +151,7 @@
 	e := &pool.Endpoint{
 		ID: hbs.EndpointID(fmt.Sprintf("e%d", i)), Service: service, Domain: domain, Model: model,
 		Address: address(hostPool+i, 80), Network: f.fabric.Network(domain),
-		Work: 20 * time.Millisecond, Gap: 10 * time.Millisecond, Events: 6, Load: time.Second, Started: 1,
+		Work: 20 * time.Millisecond, Gap: 10 * time.Millisecond, Events: streamEvents, Load: time.Second, Started: 1,
 	}
 	f.serve(e)
 	f.register(e)
@@ -317,10 +317,20 @@
 	}}
 }
 
+// streamEvents is the number of events of an engine's stream, cutAfter the number
+// that the caller gets of a stream that cutFirstStream cuts.
+const (
+	streamEvents = 6
+	cutAfter     = 3
+)
+
 // wholeStream returns the complete response of an engine.
-func wholeStream() string {
+func wholeStream() string { return streamPart(1, streamEvents) }
+
+// streamPart returns the events of a stream from one number to another.
+func streamPart(from, to int) string {
 	var b strings.Builder
-	for n := 1; n <= 6; n++ {
+	for n := from; n <= to; n++ {
 		fmt.Fprintf(&b, "id: %d\ndata: piece %d\n\n", n, n)
 	}
 	return b.String()
@@ -341,9 +351,9 @@
 }
 
 // cutFirstStream makes the engine that runs the first request end its stream
-// after three events, and calls then 5 ms or more after it has begun.
+// after cutAfter events, and calls then 5 ms or more after it has begun.
 func (f *fleet) cutFirstStream(then func()) {
-	f.fail(f.engines, pool.Faults{CutAfterEvents: 3})
+	f.fail(f.engines, pool.Faults{CutAfterEvents: cutAfter})
 	f.wg.Go(func() {
 		for len(allRuns(f.engines)) == 0 {
 			time.Sleep(time.Millisecond)
