forward: a resumed stream must not leave out an event

Cause: of a resumed stream the events that the caller has are skipped, but one that goes on later than after them was passed on. A piece was missing and the stream ended as if it were complete.

Change: the reader of events notes whether the IDs of a stream are consecutive, which takes two events, and the first event that another endpoint adds then must have the next ID. If it hasn't, the attempt breaks: a third engine may be asked, else the connection is broken off. Streams whose IDs are not consecutive are resumed as before, since IDs are only said to increase.

Specs of forward, dispatch, attempt and gateway pass.

--- a/attempt/attempt.go
+++ b/attempt/attempt.go
@@ -76,6 +76,8 @@
 	// ResumeAfter is the LastEvent of an earlier attempt whose stream this attempt
 	// continues; empty for a response that starts from the beginning.
 	ResumeAfter string
+	// Consecutive is the value of Result.Consecutive with that LastEvent.
+	Consecutive bool
 	// OnMinGap is called during a stream, about once per minGapWindow, with the
 	// shortest time between two events in that window; may be nil.
 	OnMinGap func(gap time.Duration)
@@ -110,6 +112,9 @@
 	// LastEvent is the last event that Sink received. It is set only for a broken
 	// stream that another attempt can continue.
 	LastEvent string
+	// Consecutive is set with LastEvent if the IDs of the events were consecutive, so
+	// that a stream which leaves out the next one is recognized.
+	Consecutive bool
 	// EventStream is set if the response is a stream of server-sent events.
 	EventStream bool
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -125,8 +125,9 @@
 	// mayHaveRun is set once an endpoint may have run the request.
 	mayHaveRun bool
 	// lastEvent is the ID of the last event that the caller received of a
-	// broken stream.
-	lastEvent string
+	// broken stream; consecutive is whether the IDs up to it were consecutive.
+	lastEvent   string
+	consecutive bool
 }
 
 func (s *requestState) serve(ctx context.Context) (hbs.Outcome, error) {
@@ -154,7 +155,7 @@
 // started, since the caller has part of it from an earlier attempt.
 func (s *requestState) trackResumption(res *attempt.Result) {
 	if res.LastEvent != "" {
-		s.lastEvent = res.LastEvent
+		s.lastEvent, s.consecutive = res.LastEvent, res.Consecutive
 	}
 	if s.lastEvent != "" {
 		res.Started, res.LastEvent = true, s.lastEvent
@@ -182,6 +183,7 @@
 		Priority:    p.Priority,
 		Sink:        s.sink,
 		ResumeAfter: s.lastEvent,
+		Consecutive: s.consecutive,
 		FirstToken: func(after time.Duration, cached int) {
 			s.Placer.FirstToken(p, after, cached)
 		},
--- a/forward/events_test.go
+++ b/forward/events_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -28,13 +29,23 @@
 
 // readAll returns the events that pass through a reader, and the error at the end.
 func readAll(text string, last int64) (passed string, e *eventReader, err error) {
-	e = &eventReader{src: bufio.NewReaderSize(strings.NewReader(text), minBufferSize), lastID: last}
+	e = newEventReader(text, last)
+	passed, err = e.readAll()
+	return passed, e, err
+}
+
+func newEventReader(text string, last int64) *eventReader {
+	return &eventReader{src: bufio.NewReaderSize(strings.NewReader(text), minBufferSize), lastID: last}
+}
+
+// readAll returns the events that pass, and the error at the end.
+func (e *eventReader) readAll() (passed string, err error) {
 	for err == nil {
 		var batch []byte
 		batch, err = e.next()
 		passed += string(batch)
 	}
-	return passed, e, err
+	return passed, err
 }
 
 var _ = DescribeTable("events pass complete, in order and once", func(text string, last int64, want string, wantID int64, end error) {
@@ -54,6 +65,27 @@
 	Entry("events without IDs", "data: a\n\ndata: b\n\n", int64(0), "data: a\n\ndata: b\n\n", int64(0), io.EOF),
 )
 
+// A resumed stream must not leave out an event that the caller lacks, and streams
+// whose IDs are not consecutive must still be resumed.
+var _ = DescribeTable("a resumed stream", func(before, after, want string, end error) {
+	_, first, _ := readAll(before, 0)
+	e := newEventReader(after, first.lastID)
+	e.consecutive = first.consecutive
+	passed, err := e.readAll()
+	Expect(passed).To(Equal(want))
+	Expect(errors.Is(err, end)).To(BeTrue(), "%v", err)
+},
+	Entry("that goes on", "id: 1\n\nid: 2\n\n", "id: 3\n\nid: 4\n\n", "id: 3\n\nid: 4\n\n", io.EOF),
+	Entry("that goes on after events that the caller has", "id: 1\n\nid: 2\n\n", "id: 1\n\nid: 2\n\nid: 3\n\n", "id: 3\n\n", io.EOF),
+	Entry("that leaves out an event", "id: 1\n\nid: 2\n\n", "id: 4\n\n", "", errMissingEvent),
+	Entry("that leaves out an event after one that the caller has", "id: 1\n\nid: 2\n\n", "id: 2\n\nid: 4\n\n", "", errMissingEvent),
+	Entry("whose part before did not begin with the first event", "id: 13\n\nid: 14\n\n", "id: 16\n\n", "", errMissingEvent),
+	Entry("whose IDs are not consecutive", "id: 4\n\nid: 8\n\n", "id: 12\n\n", "id: 12\n\n", io.EOF),
+	Entry("whose IDs were consecutive only at first", "id: 1\n\nid: 2\n\nid: 5\n\n", "id: 9\n\n", "id: 9\n\n", io.EOF),
+	Entry("after one event, which doesn't show how IDs go on", "id: 4\n\n", "id: 8\n\n", "id: 8\n\n", io.EOF),
+	Entry("with an event without an ID", "id: 1\n\nid: 2\n\n", "data: a\n\n", "data: a\n\n", io.EOF),
+)
+
 var _ = It("reports each gap between events, and the longest", func() {
 	synctest.Test(suite, func(t *testing.T) {
 		var gaps []time.Duration
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -19,7 +19,8 @@
 //  5. Events are passed on complete and in order as they arrive. A broken stream
 //     ends without a regular end, which the caller can detect, unless another
 //     attempt can resume after the last event that was passed on. Nothing but a
-//     stream becomes part of a stream that was started.
+//     stream becomes part of a stream that was started, and only one that leaves
+//     out no event, where IDs show it.
 //  6. A stream without events for a while is not a reason to end an attempt. Only
 //     the deadline or the caller ends it.
 //  7. An endpoint may send bytes without end, in the header or the body. A header
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -21,12 +21,16 @@
 	maxEvent = 1 << 20
 )
 
-// errPartialEvent is returned for a stream that ends within an event.
-var errPartialEvent = errors.New("stream ended within an event")
+var (
+	// errPartialEvent is returned for a stream that ends within an event.
+	errPartialEvent = errors.New("stream ended within an event")
+	// errMissingEvent is returned for a resumed stream that leaves out an event.
+	errMissingEvent = errors.New("resumed stream leaves out an event")
+)
 
 // passStream passes the events of a stream on (rule 5).
 func (r *run) passStream(ctx context.Context, res *http.Response) {
-	s := &eventReader{src: bufio.NewReaderSize(res.Body, streamBuffer), lastID: parseEventID(r.ResumeAfter), buffers: &r.buffers}
+	s := &eventReader{src: bufio.NewReaderSize(res.Body, streamBuffer), lastID: parseEventID(r.ResumeAfter), consecutive: r.Consecutive, buffers: &r.buffers}
 	for {
 		batch, err := s.next()
 		if len(batch) > 0 {
@@ -88,6 +92,7 @@
 	r.result.OutputTokens = r.tokenCount(s.count)
 	if r.result.End == hbs.EndBroken && r.result.Started && r.Request.Class == hbs.ClassRepeatable && s.lastID > 0 {
 		r.result.LastEvent = strconv.FormatInt(s.lastID, 10)
+		r.result.Consecutive = s.consecutive
 	}
 }
 
@@ -115,8 +120,12 @@
 	// lastID is the ID of the last event that was returned or that the caller already
 	// had; 0 without one.
 	lastID int64
-	// count is the number of events that were returned.
-	count int
+	// consecutive is set if the IDs of events are known to be consecutive. The first
+	// event that another endpoint adds then must have the next ID.
+	consecutive bool
+	// count is the number of events that were returned, numbered the number of those
+	// with an ID.
+	count, numbered int
 
 	// batch has complete events to return, event the lines of an incomplete one.
 	batch, event []byte
@@ -146,7 +155,9 @@
 		case err != nil:
 			return e.batch, err
 		default:
-			e.parseLine()
+			if err := e.parseLine(); err != nil {
+				return e.batch, err
+			}
 		}
 		if err := e.checkSize(); err != nil {
 			return e.batch, err
@@ -168,30 +179,45 @@
 }
 
 // parseLine parses the last line of the event.
-func (e *eventReader) parseLine() {
+func (e *eventReader) parseLine() error {
 	text := bytes.TrimRight(e.event[e.lineStart:], "\r\n")
 	e.lineStart = len(e.event)
 	if len(text) == 0 {
-		e.endEvent()
-		return
+		return e.endEvent()
 	}
 	value, ok := bytes.CutPrefix(text, []byte("id:"))
 	if !ok {
-		return
+		return nil
 	}
 	if n, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64); err == nil {
 		e.id = n
 	}
+	return nil
 }
 
 // endEvent completes an event. It skips one that the caller already has.
-func (e *eventReader) endEvent() {
+func (e *eventReader) endEvent() error {
+	if e.id > e.lastID && e.consecutive && e.numbered == 0 && e.id != e.lastID+1 {
+		return errors.Wrapf(errMissingEvent, "event %d after %d", e.id, e.lastID)
+	}
 	if e.id == 0 || e.id > e.lastID {
 		e.batch = append(e.batch, e.event...)
 		e.count++
-		if e.id > 0 {
-			e.lastID = e.id
-		}
+		e.trackID()
 	}
 	e.event, e.id, e.lineStart = e.event[:0], 0, 0
+	return nil
+}
+
+// trackID records the ID of an event that is returned. Two events are the fewest that
+// show whether IDs are consecutive.
+func (e *eventReader) trackID() {
+	if e.id == 0 {
+		return
+	}
+	e.numbered++
+	if e.numbered > 1 {
+		e.consecutive = e.id == e.lastID+1 && (e.consecutive || e.numbered == 2)
+	}
+	e.lastID = e.id
 }
--- a/gateway/resume_test.go
+++ b/gateway/resume_test.go
@@ -99,3 +99,50 @@
 		answerWith(http.StatusOK, eventStream, streamPart(after+1, streamEvents))(w, r)
 	}
 }
+
+// streamFrom returns a handler that sends the events of a stream from a number on,
+// whatever the caller has.
+func streamFrom(from int) http.HandlerFunc {
+	return answerWith(http.StatusOK, eventStream, streamPart(from, streamEvents))
+}
+
+// Guards against a stream without one of its events, or with one twice.
+var _ = Describe("a stream that broke and whose next engine goes on elsewhere than asked", func() {
+	It("is broken off if that would leave an event out", func() {
+		withFleet(func(f *fleet) {
+			f.cutFirstStream(func() { f.fail(f.engines, pool.Faults{Answer: streamFrom(cutAfter + 2)}) })
+			a := f.send(streamCall(0))
+			f.Expect(a.err).To(HaveOccurred())
+			f.Expect(a.body).To(Equal(beforeCut()))
+		})
+	})
+
+	It("continues at a third engine if that would leave an event out", func() {
+		withFleet(func(f *fleet) {
+			f.cutFirstStream(func() { f.fail(f.engines, pool.Faults{Answer: first(streamFrom(cutAfter + 2))}) })
+			c := streamCall(0)
+			c.path = "/stream-retried/x"
+			a := f.send(c)
+			f.Expect(a.err).NotTo(HaveOccurred())
+			f.Expect(a.body).To(Equal(wholeStream()))
+		})
+	})
+
+	DescribeTable("has each event once if the engine repeats some", func(from int) {
+		withFleet(func(f *fleet) {
+			f.cutFirstStream(func() { f.fail(f.engines, pool.Faults{Answer: streamFrom(from)}) })
+			a := f.send(streamCall(0))
+			f.Expect(a.err).NotTo(HaveOccurred())
+			f.Expect(a.body).To(Equal(wholeStream()))
+		})
+	}, Entry("all", 1), Entry("the last one", cutAfter))
+
+	It("is complete if nothing is left", func() {
+		withFleet(func(f *fleet) {
+			f.cutFirstStream(func() { f.fail(f.engines, pool.Faults{Answer: streamFrom(streamEvents + 1)}) })
+			a := f.send(streamCall(0))
+			f.Expect(a.err).NotTo(HaveOccurred())
+			f.Expect(a.body).To(Equal(beforeCut()))
+		})
+	})
+})
