dispatch: a stream that was broken off may have run, whatever came last

Cause: a response that was started and can't be completed took its outcome from the last attempt alone. When an engine refused to go on with a broken stream, the request was logged and counted as not_run, although the caller had a part of its response (rule 4).

Change: the rule is applied there too.

Measured: gateway/resume_test.go. On the old code the line "request ended" had outcome not_run; now unknown. dispatch and gateway pass.

--- a/dispatch/conclude.go
+++ b/dispatch/conclude.go
@@ -45,7 +45,7 @@
 
 // abortStarted ends a response that was started but not completed (rule 5).
 func (s *requestState) abortStarted(res *attempt.Result) (hbs.Outcome, error) {
-	r := res.Refusal
+	r := s.finalRefusal(res.Refusal)
 	if res.EventStream && r.Reason != hbs.ReasonCanceled {
 		// A write error means that the caller has disconnected, and the returned
 		// refusal is then sufficient.
--- a/gateway/resume_test.go
+++ b/gateway/resume_test.go
@@ -146,3 +146,17 @@
 		})
 	})
 })
+
+// Guards against a log that says that a request was not run of whose stream the
+// caller has a part.
+var _ = It("is logged with an unknown outcome if a broken stream was refused by the next engine", func() {
+	withFleet(func(f *fleet) {
+		f.cutFirstStream(func() { f.fail(f.engines, pool.Faults{Shed: true}) })
+		a := f.send(streamCall(0))
+		f.Expect(a.err).To(HaveOccurred())
+		f.Expect(a.body).To(Equal(beforeCut()))
+		ended := f.logs.FilterMessage("request ended").All()
+		f.Expect(ended).To(HaveLen(1))
+		f.Expect(ended[0].ContextMap()).To(HaveKeyWithValue("outcome", "unknown"))
+	})
+})
