network: a broken response resets the connection of an HTTP/1.0 caller

Cause: a response that breaks off is ended by aborting the handler, which closes the connection. A caller of HTTP/1.1 misses the last chunk; one of HTTP/1.0 gets a response without chunks whose end is that of the connection, so that a broken stream looked complete.

Change: network.Abort, for the gateway's and the router's handlers, resets the connection if the request is older than HTTP/1.1. The in-memory network of the tests has SetLinger as TCP connections do.

Measured: gateway/answers_test.go and router/answers_test.go.

--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -12,6 +12,7 @@
 	hbs "github.com/hornbeamstage/hornbeamstage"
 	"github.com/hornbeamstage/hornbeamstage/burn"
 	"github.com/hornbeamstage/hornbeamstage/caller"
+	"github.com/hornbeamstage/hornbeamstage/network"
 )
 
 // exchange is one caller's request and the answer to it.
@@ -38,7 +39,7 @@
 		if err != nil && x.sink.Started && !x.endsInEvent() {
 			// The status is already sent, so only aborting the connection shows the
 			// caller that the answer is truncated.
-			panic(http.ErrAbortHandler)
+			network.Abort(w, r)
 		}
 	}
 }
--- a/gateway/answers_test.go
+++ b/gateway/answers_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"io"
 	"net/http"
+	"syscall"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -94,3 +96,44 @@
 	Entry("is passed on otherwise: 422", 422, 10, 422),
 	Entry("is passed on otherwise, too long to be buffered", 500, longError, 500),
 )
+
+// sendRaw sends a request for a stream as a caller of the given HTTP version, and
+// returns the response's bytes and the error at their end, nil if it is regular.
+func (f *fleet) sendRaw(version, path string) (text string, err error) {
+	conn, err := f.fabric.Network(domain).Dial(f.ctx, address(1, portCallers))
+	f.Expect(err).NotTo(HaveOccurred())
+	defer conn.Close()
+	_, err = io.WriteString(conn, "POST "+path+" "+version+"\r\nHost: h.example\r\nX-Request-Id: r1\r\nApi-Key: "+goodKey+"\r\nX-Model: m\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+	f.Expect(err).NotTo(HaveOccurred())
+	data, err := io.ReadAll(conn)
+	return string(data), err
+}
+
+// Guards against a broken response that looks complete on the caller's connection.
+var _ = Describe("a stream that is broken off", func() {
+	It("has no last chunk", func() {
+		withFleet(func(f *fleet) {
+			f.fail(f.engines, pool.Faults{CutAfterEvents: cutAfter})
+			text, err := f.sendRaw("HTTP/1.1", "/stream-once/x")
+			f.Expect(err).NotTo(HaveOccurred())
+			f.Expect(text).To(And(ContainSubstring("Transfer-Encoding: chunked"), ContainSubstring("piece 3")))
+			f.Expect(text).NotTo(ContainSubstring("\r\n0\r\n"))
+		})
+	})
+
+	It("resets the connection if its end is that of the response", func() {
+		withFleet(func(f *fleet) {
+			f.fail(f.engines, pool.Faults{CutAfterEvents: cutAfter})
+			_, err := f.sendRaw("HTTP/1.0", "/stream-once/x")
+			f.Expect(err).To(MatchError(syscall.ECONNRESET))
+		})
+	})
+
+	It("ends regularly on such a connection if it is complete", func() {
+		withFleet(func(f *fleet) {
+			text, err := f.sendRaw("HTTP/1.0", "/stream-once/x")
+			f.Expect(err).NotTo(HaveOccurred())
+			f.Expect(text).To(HaveSuffix("\r\n\r\n" + wholeStream()))
+		})
+	})
+})
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -12,6 +12,7 @@
 	hbs "github.com/hornbeamstage/hornbeamstage"
 	"github.com/hornbeamstage/hornbeamstage/caller"
 	"github.com/hornbeamstage/hornbeamstage/dispatch"
+	"github.com/hornbeamstage/hornbeamstage/network"
 	"github.com/hornbeamstage/hornbeamstage/platform"
 	"github.com/hornbeamstage/hornbeamstage/roster"
 )
@@ -60,7 +61,7 @@
 	if err != nil && x.sink.Started {
 		// Aborting the connection is the only way to tell the caller that the
 		// response is incomplete.
-		panic(http.ErrAbortHandler)
+		network.Abort(w, r)
 	}
 }
 
--- /dev/null
+++ b/router/answers_test.go
@@ -0,0 +1,53 @@
+package router_test
+
+import (
+	"io"
+	"net/http"
+	"syscall"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// cutAfter returns a handler that sends the start of a response and breaks it off.
+func cutAfter(contentType, text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", contentType)
+		_, _ = io.WriteString(w, text)
+		w.(http.Flusher).Flush()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// getRaw sends a request to the service as a caller of the given HTTP version, and
+// returns the response's bytes and the error at their end, nil if it is regular.
+func (f *fleet) getRaw(version string) (text string, err error) {
+	conn, err := f.fabric.Network(domain).Dial(f.ctx, addr(1, portCallers))
+	f.g.Expect(err).NotTo(HaveOccurred())
+	defer conn.Close()
+	_, err = io.WriteString(conn, "GET /services/orders/x?id=o1 "+version+"\r\nHost: h\r\nAuthorization: Bearer "+goodKey+"\r\nConnection: close\r\n\r\n")
+	f.g.Expect(err).NotTo(HaveOccurred())
+	data, err := io.ReadAll(conn)
+	return string(data), err
+}
+
+// Guards against a broken response that looks complete on the caller's connection.
+var _ = Describe("a response of a service that breaks off", func() {
+	It("has no last chunk", func() {
+		withFleet(func(f *fleet) {
+			f.service.AnswerWith(cutAfter("text/event-stream", "data: a\n\n"))
+			text, err := f.getRaw("HTTP/1.1")
+			f.g.Expect(err).NotTo(HaveOccurred())
+			f.g.Expect(text).To(And(ContainSubstring("Transfer-Encoding: chunked"), ContainSubstring("data: a")))
+			f.g.Expect(text).NotTo(ContainSubstring("\r\n0\r\n"))
+		})
+	})
+
+	It("resets the connection if its end is that of the response", func() {
+		withFleet(func(f *fleet) {
+			f.service.AnswerWith(cutAfter("text/event-stream", "data: a\n\n"))
+			_, err := f.getRaw("HTTP/1.0")
+			f.g.Expect(err).To(MatchError(syscall.ECONNRESET))
+		})
+	})
+})
--- a/router/headertimeout.go
+++ b/router/headertimeout.go
@@ -56,6 +56,14 @@
 	return n, err
 }
 
+// SetLinger makes Close reset the connection if sec is 0. See network.Abort.
+func (c *timeoutConn) SetLinger(sec int) error {
+	if l, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+		return l.SetLinger(sec)
+	}
+	return nil
+}
+
 // answerTimeout writes a 408 response with the outcome not_run.
 func (c *timeoutConn) answerTimeout() {
 	refusal := hbs.NotRun(hbs.ReasonHeaderTimeout, "", 0)
--- a/standin/memnet/conn.go
+++ b/standin/memnet/conn.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -15,6 +16,8 @@
 	in, out       *stream
 	local, remote netip.AddrPort
 	once          sync.Once
+	// abandons is set if Close resets the connection.
+	abandons atomic.Bool
 }
 
 func newConnPair(f *Fabric, path link, local, remote netip.AddrPort) (near, far *conn) {
@@ -32,9 +35,19 @@
 // blocks.
 func (c *conn) Write(p []byte) (int, error) { return c.out.write(p) }
 
+// SetLinger makes Close reset the connection if sec is 0, as that of net.TCPConn
+// does.
+func (c *conn) SetLinger(sec int) error {
+	c.abandons.Store(sec == 0)
+	return nil
+}
+
 // Close implements net.Conn. The other end reads the bytes already written, then
 // EOF.
 func (c *conn) Close() error {
+	if c.abandons.Load() {
+		c.Reset()
+	}
 	c.once.Do(func() {
 		c.out.closeWriter(io.EOF)
 		c.in.closeReader()
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -74,6 +74,7 @@
 	dieAfter   int
 	slowFactor float64
 	slowUntil  time.Time
+	answer     http.HandlerFunc
 }
 
 // Run serves until ctx ends.
@@ -144,6 +145,13 @@
 	s.faults.dieAfter = n
 }
 
+// AnswerWith answers the calls from now on with h, after executing them.
+func (s *Service) AnswerWith(h http.HandlerFunc) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults.answer = h
+}
+
 // AnswerEndlessly answers calls of the next d, which are not executed, with bytes
 // that never end, in the header or in the body of an error.
 func (s *Service) AnswerEndlessly(d time.Duration) {
@@ -196,7 +204,7 @@
 	if s.Capabilities.EchoesAttempt {
 		w.Header().Set("X-Attempt-Id", attempt)
 	}
-	if s.injectFault(w) {
+	if s.injectFault(w, r) {
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
@@ -257,9 +265,9 @@
 
 // injectFault applies the faults that occur after execution. It reports whether it
 // has written the response.
-func (s *Service) injectFault(w http.ResponseWriter) bool {
+func (s *Service) injectFault(w http.ResponseWriter, r *http.Request) bool {
 	s.mu.Lock()
-	fail, die := s.faults.failAfter > 0, s.faults.dieAfter > 0
+	fail, die, answer := s.faults.failAfter > 0, s.faults.dieAfter > 0, s.faults.answer
 	if fail {
 		s.faults.failAfter--
 	}
@@ -274,5 +282,8 @@
 	if die {
 		panic(http.ErrAbortHandler)
 	}
-	return false
+	if answer != nil {
+		answer(w, r)
+	}
+	return answer != nil
 }
