entry: a part of a response that is no stream isn't ended as complete

Cause: a response that breaks off ends with an error event if a stream was asked for, and the connection is aborted otherwise. The dispatcher writes the event only into an event stream; the handler decided by the request. An engine that answers a request for a stream with a longer body of another type and breaks off got neither, and the part ended as a complete response.

Change: the handler goes by the type of the response that was started, which the sink records. The test of a header for an event stream is in package caller, which all of them use. The stand-ins can answer with a response of the test's choice.

Measured: router/answers_test.go. On the old code the caller read a part without an error; now the response breaks off. A stream of the same engine still ends with an error event.

--- a/attempt/dispatch.go
+++ b/attempt/dispatch.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	hbs "github.com/hornbeamstage/hornbeamstage"
+	"github.com/hornbeamstage/hornbeamstage/caller"
 	"github.com/hornbeamstage/hornbeamstage/network"
 	"github.com/hornbeamstage/hornbeamstage/prompt"
 )
@@ -172,7 +173,7 @@
 		return
 	}
 	switch {
-	case r.streamed() && res.StatusCode < 400 && IsEvents(res.Header):
+	case r.streamed() && res.StatusCode < 400 && caller.IsEvents(res.Header):
 		r.relayStream(ctx, res)
 	case res.StatusCode >= 400 && r.buffersErrors():
 		r.bufferError(ctx, res)
--- a/attempt/plain.go
+++ b/attempt/plain.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	hbs "github.com/hornbeamstage/hornbeamstage"
+	"github.com/hornbeamstage/hornbeamstage/caller"
 	"github.com/hornbeamstage/hornbeamstage/network"
 	"github.com/hornbeamstage/hornbeamstage/relay"
 )
@@ -100,7 +101,7 @@
 // readWhole reads the response up to KnobWholeBytes. Event streams of plain
 // services are not buffered, since that would delay their events.
 func (r *run) readWhole(res *http.Response) ([]byte, error) {
-	if IsEvents(res.Header) {
+	if caller.IsEvents(res.Header) {
 		return nil, nil
 	}
 	limit := int64(r.Policy.Number(KnobWholeBytes, r.scope()))
--- a/attempt/stream.go
+++ b/attempt/stream.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -28,12 +27,6 @@
 // restarted under another incarnation.
 var errStreamUnavailable = errors.New("stream is gone")
 
-// IsEvents reports whether a response with header h is a stream of server-sent
-// events.
-func IsEvents(h http.Header) bool {
-	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
-}
-
 // relayStream passes the events on, and resumes the stream on new connections as
 // often as necessary (rule 5).
 func (r *run) relayStream(ctx context.Context, res *http.Response) {
--- a/caller/header.go
+++ b/caller/header.go
@@ -75,6 +75,12 @@
 	return strings.TrimSpace(key)
 }
 
+// IsEvents reports whether a response with header h is a stream of server-sent
+// events.
+func IsEvents(h http.Header) bool {
+	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
+}
+
 // hopByHopHeaders apply to a single connection (RFC 9110, section 7.6.1). Expect is
 // included because the router has already read the whole body.
 var hopByHopHeaders = []string{
--- a/caller/sink.go
+++ b/caller/sink.go
@@ -15,6 +15,8 @@
 type Sink struct {
 	// Started is set by Start before the status is written.
 	Started bool
+	// EventStream is set by Start if the response is a stream of server-sent events.
+	EventStream bool
 	// FirstWrite and LastWrite are the times of the first and last write to the body;
 	// zero before the first.
 	FirstWrite, LastWrite time.Time
@@ -38,6 +40,7 @@
 // Start implements hornbeamstage.Sink.
 func (s *Sink) Start(status int, header http.Header) error {
 	s.Started = true
+	s.EventStream = IsEvents(header)
 	for name, values := range header {
 		s.w.Header()[name] = values
 	}
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -46,7 +46,9 @@
 
 // endsInEvent reports whether the dispatcher ends an incomplete answer with an
 // error event, so that the connection need not be aborted.
-func (x *exchange) endsInEvent() bool { return x.req.Model != "" && x.req.Stream }
+func (x *exchange) endsInEvent() bool {
+	return x.req.Model != "" && x.req.Stream && x.sink.EventStream
+}
 
 func (h *Handler) newExchange(w http.ResponseWriter, r *http.Request, params httprouter.Params) *exchange {
 	now := time.Now()
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -214,7 +214,7 @@
 		r.rejectResponse("the answer has no receipt")
 	case r.ResumeAfter != "" && !continuesStream(res):
 		r.failResumption(res.StatusCode)
-	case res.StatusCode < 400 && attempt.IsEvents(res.Header):
+	case res.StatusCode < 400 && caller.IsEvents(res.Header):
 		r.passStream(ctx, res)
 	default:
 		r.passBuffered(ctx, res)
@@ -224,7 +224,7 @@
 // continuesStream reports whether a response can continue a stream of which the
 // caller has a part.
 func continuesStream(res *http.Response) bool {
-	return res.StatusCode == http.StatusOK && attempt.IsEvents(res.Header)
+	return res.StatusCode == http.StatusOK && caller.IsEvents(res.Header)
 }
 
 // startResponse starts the response to the caller, unless an earlier attempt did and
--- a/router/answers_test.go
+++ b/router/answers_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strings"
 	"syscall"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -51,3 +52,28 @@
 		})
 	})
 })
+
+// largerThanBuffered is more than is buffered of a response, in bytes.
+const largerThanBuffered = 2 << 20
+
+// Guards against a part of a response that looks like all of it, where a stream was
+// asked for.
+var _ = It("breaks off a response of an engine that is no stream and breaks off", func() {
+	withFleet(func(f *fleet) {
+		f.engine.AnswerWith(cutAfter("application/json", `{"text": "`+strings.Repeat("x", largerThanBuffered)))
+		res := f.do(request{method: http.MethodPost, path: "/v1/chat/completions", body: chatBody(true, 5), key: goodKey})
+		f.g.Expect(res.status).To(Equal(http.StatusOK))
+		f.g.Expect(res.err).To(HaveOccurred())
+		f.g.Expect(res.body).NotTo(ContainSubstring("event: error"))
+	})
+})
+
+// Guards against a stream that ends without an error event or "[DONE]".
+var _ = It("ends a stream of an engine that breaks off with an error event", func() {
+	withFleet(func(f *fleet) {
+		f.engine.AnswerWith(cutAfter("text/event-stream", "data: {}\n\ndata: {"))
+		res := f.do(request{method: http.MethodPost, path: "/v1/chat/completions", body: chatBody(true, 5), key: goodKey})
+		f.g.Expect(res.err).NotTo(HaveOccurred())
+		f.g.Expect(res.body).To(HavePrefix("data: {}\n\nevent: error\ndata: {\"error\""))
+	})
+})
--- a/standin/engine/faults.go
+++ b/standin/engine/faults.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/hornbeamstage/hornbeamstage/standin/endless"
@@ -21,6 +22,7 @@
 	failUntil      time.Time
 	eventLossRate  float64
 	extraLoadLag   time.Duration
+	answer         http.HandlerFunc
 }
 
 func (f *faults) slowed(d time.Duration, now time.Time) time.Duration {
@@ -85,6 +87,14 @@
 	e.endless.Begin(d, endless.HeaderLines, endless.ErrorBody, endlessEvent)
 }
 
+// AnswerWith answers completion requests from now on with h, without running them.
+// The headers that identify the attempt and the weights are set before h is called.
+func (e *Engine) AnswerWith(h http.HandlerFunc) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults.answer = h
+}
+
 // LoseEvents drops cache events with the probability share from now on. The
 // dropped events leave gaps in the sequence numbers.
 func (e *Engine) LoseEvents(share float64) {
--- a/standin/engine/serve.go
+++ b/standin/engine/serve.go
@@ -113,6 +113,11 @@
 			writeError(w, http.StatusBadRequest, "bad_request")
 			return
 		}
+		if h := e.injectedAnswer(); h != nil {
+			e.setIdentityHeaders(w, hbs.AttemptID(r.Header.Get("X-Attempt-Id")))
+			h(w, r)
+			return
+		}
 		j, status, code := e.accept(r.Header, &c, chat)
 		if code != "" {
 			e.setIdentityHeaders(w, hbs.AttemptID(r.Header.Get("X-Attempt-Id")))
@@ -123,6 +128,13 @@
 	}
 }
 
+// injectedAnswer returns the handler that answers in place of the engine, or nil.
+func (e *Engine) injectedAnswer() http.HandlerFunc {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults.answer
+}
+
 // accept validates a request and adds it to the queue, or returns the status and
 // error code of the refusal.
 func (e *Engine) accept(h http.Header, c *completion, chat bool) (j *job, status int, code string) {
