forward: a stream that ends with blanks has been broken off too

Cause: a stream that ended within an event counted as broken only if the event had more than white space so far. One that was cut after a carriage return or a blank line's first bytes counted as complete, and what there was of the event was not passed on.

Change: a stream is complete only if it ends between two events.

Measured: gateway/unframed_test.go plays responses with neither a length nor chunks, regular ends and resets. On the old code 2 of 17 failed (a stream that ends with "\r", and with " \n", after an event); they pass now. The other 15 passed before and show that such a response is complete at the end of its connection, and broken by a reset, a missing last chunk, a short body, and within an event wherever it is cut. forward and gateway pass.

--- a/forward/stream.go
+++ b/forward/stream.go
@@ -150,7 +150,7 @@
 		e.event = append(e.event, line...)
 		switch {
 		case err == bufio.ErrBufferFull:
-		case err == io.EOF && len(bytes.TrimSpace(e.event)) > 0:
+		case err == io.EOF && len(e.event) > 0:
 			return e.batch, errPartialEvent
 		case err != nil:
 			return e.batch, err
