attempt: a service's stream that ends within an event has been broken off

Cause: the router passes a service's event stream on as it arrives and took every regular end of the connection as the end of the response. One with neither a length nor chunks that broke off within an event so got chunks and a last one on the way to the caller, and looked complete.

Change: the end of such a stream counts as broken within an event, and the caller's connection is aborted. Lines may end as server-sent events allow. A stream with a length or chunks states its own end and is passed on as before.

Measured: router/answers_test.go. On the old code 3 of 7 entries failed: a stream cut within a line or after one was complete for the caller. They pass now; specs of attempt, router and dispatch pass.

--- a/attempt/plain.go
+++ b/attempt/plain.go
@@ -149,7 +149,11 @@
 			return err
 		}
 	}
-	return r.copyRest(&progressReader{res.Body, r})
+	var rest io.Reader = &progressReader{res.Body, r}
+	if unframedEvents(res) {
+		rest = &eventEndReader{from: rest}
+	}
+	return r.copyRest(rest)
 }
 
 func (r *run) copyRest(from io.Reader) error {
--- a/router/answers_test.go
+++ b/router/answers_test.go
@@ -77,3 +77,32 @@
 		f.g.Expect(res.body).To(HavePrefix("data: {}\n\nevent: error\ndata: {\"error\""))
 	})
 })
+
+// Guards against a stream of a service that was broken off within an event and seems
+// complete because it has neither a length nor chunks.
+var _ = DescribeTable("a stream of a service without a length or chunks", func(text string, complete bool) {
+	withFleet(func(f *fleet) {
+		f.service.AnswerWith(func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			f.g.Expect(err).NotTo(HaveOccurred())
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"+text)
+			_ = conn.Close()
+		})
+		res := f.do(request{method: http.MethodGet, path: "/services/orders/x?id=o1", key: goodKey})
+		f.g.Expect(res.status).To(Equal(http.StatusOK))
+		f.g.Expect(res.body).To(Equal(text))
+		if complete {
+			f.g.Expect(res.err).NotTo(HaveOccurred())
+			return
+		}
+		f.g.Expect(res.err).To(HaveOccurred())
+	})
+},
+	Entry("is complete at the end of its connection", "data: a\n\n", true),
+	Entry("is complete without an event", "", true),
+	Entry("is complete with another end of lines", "data: a\r\n\r\ndata: b\r\r", true),
+	Entry("is complete with empty lines at its end", "data: a\n\n\n", true),
+	Entry("is broken within a line", "data: a\n\ndata: b", false),
+	Entry("is broken after a line", "data: a\n\ndata: b\n", false),
+	Entry("is broken after a line that ends with a carriage return", "data: a\r\n\r\ndata: b\r\n", false),
+)
