forward: a stream isn't bound to the length that its first engine stated

Cause: the header of a stream's first engine went to the caller with its Content-Length. If the stream broke and another engine continued it with events of other lengths, the response was broken off at the end or at the first byte too many, although nothing was missing.

Change: the length of an event stream isn't passed on; the caller gets chunks. A stream that breaks off still has no last chunk.

Measured: gateway/unframed_test.go. On the old code the caller of a stream that was continued with one more comment got "unexpected EOF"; now the whole stream. gateway and forward pass.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -241,7 +241,12 @@
 	if r.ResumeAfter != "" {
 		return nil
 	}
-	return errors.Mark(r.Sink.Start(res.StatusCode, responseHeader(res.Header)), errCallerLeft)
+	h := responseHeader(res.Header)
+	if caller.IsEvents(h) {
+		// Another endpoint may continue the stream with events of other lengths.
+		h.Del("Content-Length")
+	}
+	return errors.Mark(r.Sink.Start(res.StatusCode, h), errCallerLeft)
 }
 
 // write passes p on to the caller.
--- a/gateway/resume_test.go
+++ b/gateway/resume_test.go
@@ -89,14 +89,22 @@
 // first returns a handler that answers the first request with h and continues the
 // streams of later ones.
 func first(h http.HandlerFunc) http.HandlerFunc {
+	return inTurn(h, func(w http.ResponseWriter, r *http.Request) {
+		after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+		answerWith(http.StatusOK, eventStream, streamPart(after+1, streamEvents))(w, r)
+	})
+}
+
+// inTurn returns a handler that answers the first request with one handler and later
+// ones with another.
+func inTurn(first, later http.HandlerFunc) http.HandlerFunc {
 	var n atomic.Int64
 	return func(w http.ResponseWriter, r *http.Request) {
 		if n.Add(1) == 1 {
-			h(w, r)
+			first(w, r)
 			return
 		}
-		after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-		answerWith(http.StatusOK, eventStream, streamPart(after+1, streamEvents))(w, r)
+		later(w, r)
 	}
 }
 
--- a/gateway/unframed_test.go
+++ b/gateway/unframed_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -105,3 +106,17 @@
 		f.Expect(allRuns(f.engines)).To(HaveLen(2))
 	})
 })
+
+// Guards against a stream that can't be continued because its first engine stated
+// the length of its own events.
+var _ = It("continues a stream whose length was stated with events of other lengths", func() {
+	withFleet(func(f *fleet) {
+		length := fmt.Sprintf("Content-Length: %d\r\n", len(wholeStream()))
+		cut := rawAnswer(ownHead+eventsType+length+"\r\n"+streamPart(1, cutAfter), closes)
+		longer := ": a comment\n" + streamPart(cutAfter+1, streamEvents)
+		f.fail(f.engines, pool.Faults{Answer: inTurn(cut, answerWith(http.StatusOK, eventStream, longer))})
+		a := f.send(streamCall(0))
+		f.Expect(a.err).NotTo(HaveOccurred())
+		f.Expect(a.body).To(Equal(streamPart(1, cutAfter) + longer))
+	})
+})
