--- a/forward/ends.go
+++ b/forward/ends.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 
 	"github.com/cockroachdb/errors"
 
@@ -19,6 +20,22 @@
 	r.result.Refusal = hbs.NotRun(hbs.ReasonNoEndpoint, "the endpoint refused", 0)
 }
 
+// failUnproven discards an error whose status tells callers that the request was not
+// run although the endpoint doesn't say so (rule 2).
+func (r *run) failUnproven(status int) {
+	r.result.Fail(http.StatusText(status))
+	r.result.Refusal.Outcome = hbs.OutcomeUnknown
+}
+
+// failResumption discards a response that doesn't continue the stream (rule 5).
+func (r *run) failResumption(status int) {
+	if status < 400 {
+		r.rejectResponse("the answer doesn't continue the stream")
+		return
+	}
+	r.result.Fail(http.StatusText(status))
+}
+
 // rejectResponse discards a response that is not the attempt's own (rule 3).
 func (r *run) rejectResponse(detail string) {
 	r.count(meterMismatch)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -6,7 +6,10 @@
 //  1. An attempt is intended for one incarnation of one endpoint. Another endpoint
 //     at the same address, or one with other weights, refuses it without running
 //     it.
-//  2. An attempt that was sent counts as not run only if the endpoint says so.
+//  2. An attempt that was sent counts as not run only if the endpoint says so and
+//     names the request. An endpoint may repeat an earlier refusal, or write one
+//     and run the request nevertheless. An error whose status alone says it to
+//     callers is not passed on.
 //  3. A response is passed to the caller only if it doesn't name another request
 //     and, when it is a success, carries the endpoint's receipt.
 //  4. A response that is not a stream is buffered until it is complete, so that the
@@ -15,7 +18,9 @@
 //     attempts together exceed Sender.BufferBytes.
 //  5. Events are passed on complete and in order as they arrive. A broken stream
 //     ends without a regular end, which the caller can detect, unless another
-//     attempt can resume after the last event that was passed on.
+//     attempt can resume after the last event that was passed on. Nothing but a
+//     stream becomes part of a stream that was started, and only one that leaves
+//     out no event, where IDs show it.
 //  6. A stream without events for a while is not a reason to end an attempt. Only
 //     the deadline or the caller ends it.
 //  7. An endpoint may send bytes without end, in the header or the body. A header
@@ -214,17 +219,29 @@
 	switch {
 	case a.RequestID != "" && a.RequestID != r.Request.ID:
 		r.rejectResponse("the answer names another request")
+	case a.NotRun && a.RequestID != r.Request.ID:
+		r.rejectResponse("the refusal names no request")
 	case a.NotRun:
 		r.recordRefusal(&a)
+	case platform.PromisesNotRun(res.StatusCode):
+		r.failUnproven(res.StatusCode)
 	case res.StatusCode < 400 && !a.Receipted:
 		r.rejectResponse("the answer has no receipt")
-	case res.StatusCode < 400 && attempt.IsEvents(res.Header):
+	case r.ResumeAfter != "" && !continuesStream(res):
+		r.failResumption(res.StatusCode)
+	case res.StatusCode < 400 && caller.IsEvents(res.Header):
 		r.passStream(ctx, res)
 	default:
 		r.passBuffered(ctx, res)
 	}
 }
 
+// continuesStream reports whether a response can continue a stream of which the
+// caller has a part.
+func continuesStream(res *http.Response) bool {
+	return res.StatusCode == http.StatusOK && caller.IsEvents(res.Header)
+}
+
 // startResponse starts the response to the caller, unless an earlier attempt did and
 // this one resumes it.
 func (r *run) startResponse(res *http.Response) error {
@@ -239,7 +256,12 @@
 	if r.ResumeAfter != "" {
 		return nil
 	}
-	return errors.Mark(r.Sink.Start(res.StatusCode, responseHeader(res.Header)), errCallerLeft)
+	h := responseHeader(res.Header)
+	if caller.IsEvents(h) {
+		// Another endpoint may continue the stream with events of other lengths.
+		h.Del("Content-Length")
+	}
+	return errors.Mark(r.Sink.Start(res.StatusCode, h), errCallerLeft)
 }
 
 // write passes p on to the caller.
