forward: an event is passed on before the next one is complete

What callers saw: an event that had arrived came late, together with the next one, where an engine's writes or the network's segments cut the next event.

Cause: the reader returned its complete events only once nothing was left in the read buffer. With the first bytes of another line there it waited for the rest of that line.

Change: it returns them unless a complete line has arrived.

--- a/forward/events_test.go
+++ b/forward/events_test.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/sourcegraph/conc"
 
 	"github.com/hornbeamstage/hornbeamstage/attempt"
 )
@@ -104,6 +105,30 @@
 	})
 })
 
+// Guards against events that reach the caller late: one that had arrived whole waited
+// for the rest of the next one.
+var _ = It("passes an event on before the next one is complete", func() {
+	synctest.Test(suite, func(t *testing.T) {
+		r, w := io.Pipe()
+		var wg conc.WaitGroup
+		defer wg.Wait()
+		defer r.Close()
+		e := &eventReader{src: bufio.NewReaderSize(r, streamBuffer)}
+		var batch []byte
+		done := make(chan struct{})
+		wg.Go(func() {
+			defer close(done)
+			batch, _ = e.next()
+		})
+		_, err := io.WriteString(w, "id: 1\ndata: a\n\nid: 2")
+		g := NewWithT(t)
+		g.Expect(err).NotTo(HaveOccurred())
+		synctest.Wait()
+		g.Expect(done).To(BeClosed())
+		g.Expect(string(batch)).To(Equal("id: 1\ndata: a\n\n"))
+	})
+})
+
 func FuzzEvents(f *testing.F) {
 	f.Add("id: 1\ndata: a\n\n", int64(0))
 	f.Fuzz(func(t *testing.T, text string, last int64) {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -143,7 +143,7 @@
 func (e *eventReader) next() ([]byte, error) {
 	e.batch = e.batch[:0]
 	for {
-		if len(e.batch) > 0 && e.src.Buffered() == 0 {
+		if len(e.batch) > 0 && !e.hasLine() {
 			return e.batch, nil
 		}
 		line, err := e.src.ReadSlice('\n')
@@ -165,6 +165,13 @@
 	}
 }
 
+// hasLine reports whether a complete line has arrived.
+func (e *eventReader) hasLine() bool {
+	// Peek of what is buffered can't fail.
+	arrived, _ := e.src.Peek(e.src.Buffered())
+	return bytes.IndexByte(arrived, '\n') >= 0
+}
+
 // checkSize returns an error if the incomplete event is too long.
 func (e *eventReader) checkSize() error {
 	if len(e.event) > maxEvent {
