platform: an odd object hides no other one in listings and watches

Seen by other operators: another writer left an entry among those of the engines that was nested very deeply; the machines that read the list ended again and again, or stopped following it. Here they stopped following it, and an instance that started beside such an entry answered every request with 503 "no endpoint" until it was gone. No process ended.

Cause: a listing, the events of a poll and a line of a watch were each decoded as one document. encoding/json takes a document whole or not at all: an object nested deeper than 10,000 levels (9,997 in a listing), a name or revision of another type or out of range, null in place of an object, or a word that is no JSON failed the whole listing. A watch was then resumed at the same revision and brought the same object, for ever.

Change: platform/split.go finds the parts of a document without decoding them, at any depth; each object is decoded by itself. A value nested more than 1,000 levels deep counts as absent, so that its object names nothing. An object without a name or revision that can be read is left out of listings; after such an event, or one that can't be split, the kind is listed again, not watched from the same revision. A listing must show that it is complete: brackets that match up to the end, its revision, and a name to go on after, or it is an error and the last one holds. Both forms of the object API do so. platform_objects_unreadable counts, a line in 10 s tells.

--- a/gateway/assemble.go
+++ b/gateway/assemble.go
@@ -103,7 +103,7 @@
 	g.store = &platform.Client{
 		Address: s.Store, Network: g.Network, Timeout: callTimeout, Form: s.Form, WatchWait: watchWait,
 		ReadsPerSecond: storeRateShare * s.ReadsPerSecond, WritesPerSecond: storeRateShare * s.WritesPerSecond,
-		Policy: g.policy, Metrics: g.Metrics,
+		Policy: g.policy, Metrics: g.Metrics, Log: g.Log.Named("store"),
 	}
 	g.presence = &presence.Counter{Platform: g.store, Self: self.ID, Log: g.Log.Named("presence")}
 	g.versions = &weightsVersions{Converge: s.Bounds.ConvergeTime}
--- a/router/components.go
+++ b/router/components.go
@@ -127,6 +127,7 @@
 		WritesPerSecond: s.WritesPerSecond,
 		Policy:          c.config,
 		Metrics:         r.Metrics,
+		Log:             r.Log.Named("platform"),
 	}
 	c.watcher = &mirror.Watcher{
 		Platform:         c.platform,
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -59,6 +59,8 @@
 	reads   *rate.Limiter
 	calls   map[CallKind]int
 	faults  faults
+	// verbatim has the bytes that stand for parts of responses.
+	verbatim []replacement
 	// pages is the snapshot from which the last page was taken.
 	pages snapshot
 	// serving is set by Run. Objects stored before are visible without ListLag.
--- a/standin/platform/serve.go
+++ b/standin/platform/serve.go
@@ -57,7 +57,7 @@
 	r.PUT("/apis/v1/:kind/:name", p.handle(verbUpdate))
 	r.DELETE("/apis/v1/:kind/:name", p.handle(verbDelete))
 	p.addNumbered(r)
-	return r
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) { r.ServeHTTP(verbatimWriter{w, p}, req) })
 }
 
 func (p *Platform) serveKind(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
