gateway: an odd record is logged and counted once for each revision

Cause: each listing logged a record that names no endpoint once more, and nothing counted such records. The line had the record's name only within the text of its error.

Change: gateway_odd_records counts the revisions of records that can't be decoded, or whose status can't; the lines carry the name as endpoint and come once for each revision.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -155,7 +155,7 @@
 		g.dispatcher.Run,
 		g.fleet.Run,
 		g.newWatcher(platform.KindConfig, g.configHandler()).Run,
-		g.newWatcher(platform.KindEndpoints, &endpointHandler{g}).Run,
+		g.newWatcher(platform.KindEndpoints, &endpointHandler{Gateway: g, odd: map[string]hbs.Revision{}}).Run,
 		g.newWatcher(platform.KindDesiredWeights, g.versionHandler()).Run,
 		g.lease.Run,
 		g.presence.Run,
--- a/gateway/objecthandlers.go
+++ b/gateway/objecthandlers.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"maps"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
 	hbs "github.com/hornbeamstage/hornbeamstage"
@@ -57,15 +59,22 @@
 }
 
 // endpointHandler updates the directory of endpoints.
-type endpointHandler struct{ *Gateway }
+type endpointHandler struct {
+	*Gateway
+	// odd has the revisions of the records that were reported as odd, by name.
+	odd map[string]hbs.Revision
+}
 
 func (h *endpointHandler) replace(objs []hbs.Object) {
 	var all []hbs.Endpoint
+	listed := make(map[string]bool, len(objs))
 	for i := range objs {
+		listed[objs[i].Name] = true
 		if e, ok := h.decode(&objs[i]); ok {
 			all = append(all, e)
 		}
 	}
+	maps.DeleteFunc(h.odd, func(name string, _ hbs.Revision) bool { return !listed[name] })
 	for i := range all {
 		if old, known := h.directory.Endpoint(all[i].ID); !known || old.Revision != all[i].Revision {
 			h.logRecord(&all[i])
@@ -82,7 +91,7 @@
 func (h *endpointHandler) applyStatus(obj *hbs.Object) {
 	status, err := platform.DecodeEndpointStatus(obj.Status)
 	if err != nil {
-		h.Log.Warn("endpoint status not decoded", zap.String("endpoint", obj.Name), zap.Uint64("revision", uint64(obj.Revision)), zap.Error(err))
+		h.reportOdd(obj, "endpoint status not decoded", err)
 		return
 	}
 	e, ok := h.directory.Endpoint(hbs.EndpointID(obj.Name))
@@ -97,6 +106,7 @@
 func (h *endpointHandler) apply(ev hbs.WatchEvent) {
 	id := hbs.EndpointID(ev.Object.Name)
 	if ev.Deleted {
+		delete(h.odd, ev.Object.Name)
 		h.directory.Remove(id)
 		h.Log.Info("endpoint removed", zap.String("endpoint", string(id)), zap.Uint64("revision", uint64(ev.Object.Revision)))
 		return
@@ -122,7 +132,7 @@
 func (h *endpointHandler) decode(obj *hbs.Object) (hbs.Endpoint, bool) {
 	e, err := platform.DecodeEndpoint(obj.Name, obj.Value, h.PlatformSettings.Regions)
 	if err != nil {
-		h.Log.Warn("record names no endpoint", zap.Uint64("revision", uint64(obj.Revision)), zap.Error(err))
+		h.reportOdd(obj, "record names no endpoint", err)
 		return e, false
 	}
 	e.Revision = obj.Revision
@@ -130,6 +140,17 @@
 	return e, true
 }
 
+// reportOdd counts and logs a record that is odd, once for each of its revisions
+// however often it is listed.
+func (h *endpointHandler) reportOdd(obj *hbs.Object, message string, err error) {
+	if h.odd[obj.Name] == obj.Revision {
+		return
+	}
+	h.odd[obj.Name] = obj.Revision
+	metrics.GetOrRegisterCounter(meterOddRecords, h.Metrics).Inc(1)
+	h.Log.Warn(message, zap.String("endpoint", obj.Name), zap.Uint64("revision", uint64(obj.Revision)), zap.Error(err))
+}
+
 func (h *endpointHandler) synced(time.Time) {}
 
 func (h *endpointHandler) reconnected() { h.directory.PlatformRecovered() }
--- a/gateway/oddentry_test.go
+++ b/gateway/oddentry_test.go
@@ -10,6 +10,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
 
 	hbs "github.com/hornbeamstage/hornbeamstage"
 	"github.com/hornbeamstage/hornbeamstage/platform"
@@ -218,6 +219,30 @@
 		})
 	}
 
+	// Guards against a log that an unchanged odd entry fills.
+	It("is logged and counted once by each instance, however often it is listed", func() {
+		withFleet(func(f *fleet) {
+			f.Expect(f.store.PutVerbatim(platform.KindEndpoints, oddEndpoint, []byte(entryWith("note", deeply(20_000))))).To(Succeed())
+			for range 5 {
+				f.store.Compact()
+				f.publishWeights(1)
+				f.store.Compact()
+				time.Sleep(3 * time.Second)
+			}
+			listings := 0
+			for _, l := range f.logs.FilterMessage("objects listed").All() {
+				if l.ContextMap()["kind"] == string(platform.KindEndpoints) {
+					listings++
+				}
+			}
+			f.Expect(listings).To(BeNumerically(">=", 5*len(f.instances)))
+			f.Expect(f.logCount("record names no endpoint")).To(Equal(len(f.instances)))
+			for _, g := range f.instances {
+				f.Expect(metrics.GetOrRegisterCounter("gateway_odd_records", g.Metrics).Count()).To(Equal(int64(1)))
+			}
+		})
+	})
+
 	// Guards against an engine that is taken for gone because its status is odd.
 	It("is used if its status alone is odd", func() {
 		withFleet(func(f *fleet) {
