--- a/gateway/oddentry_test.go
+++ b/gateway/oddentry_test.go
@@ -14,6 +14,7 @@
 
 	hbs "github.com/hornbeamstage/hornbeamstage"
 	"github.com/hornbeamstage/hornbeamstage/platform"
+	"github.com/hornbeamstage/hornbeamstage/presence"
 	"github.com/hornbeamstage/hornbeamstage/standin/pool"
 )
 
@@ -219,6 +220,32 @@
 		})
 	}
 
+	// Guards against routes, weights versions or a count of instances that stay as they
+	// are because another writer left an odd object of their kind.
+	It("hides nothing if it is of one of the other kinds", func() {
+		withFleet(func(f *fleet) {
+			for _, kind := range []hbs.ObjectKind{platform.KindConfig, platform.KindDesiredWeights, presence.Kind} {
+				f.Expect(f.store.PutVerbatim(kind, "a-odd", []byte(deeply(20_000)))).To(Succeed())
+				f.Expect(f.store.PutVerbatim(kind, "z-odd", []byte(`{"version": many}`))).To(Succeed())
+			}
+			f.restart(0)
+			time.Sleep(recoveryTime)
+			f.publishRoutes(7, goodKey, "second")
+			f.publishWeights(2)
+			time.Sleep(convergeTime)
+			for i := range f.instances {
+				f.Expect(f.send(call{i: i, path: "/write/x", key: "second"}).status).To(Equal(http.StatusOK), "instance %d", i+1)
+			}
+			f.Expect(f.versions()).To(HaveEach(int64(2)))
+			counted := f.lastLog("instance count changed").ContextMap()
+			f.Expect(counted["to"]).To(BeNumerically(">=", len(f.instances)))
+			// A route table that turned odd leaves the last one in use.
+			f.Expect(f.store.PutVerbatim(platform.KindConfig, platform.ConfigName, []byte(deeply(20_000)))).To(Succeed())
+			time.Sleep(settleTime)
+			f.Expect(f.send(call{path: "/write/x", key: "second"}).status).To(Equal(http.StatusOK))
+		})
+	})
+
 	// Guards against a log that an unchanged odd entry fills.
 	It("is logged and counted once by each instance, however often it is listed", func() {
 		withFleet(func(f *fleet) {
--- a/platform.go
+++ b/platform.go
@@ -31,7 +31,8 @@
 	Name string
 	// Revision is zero for an object that is not stored yet.
 	Revision Revision
-	// Value is JSON, at most MaxObjectBytes long.
+	// Value is JSON, at most MaxObjectBytes long. What another writer stored may be
+	// anything; a value that is nested too deeply is empty when it is read.
 	Value json.RawMessage
 	// Status is JSON that other writers than that of Value report about the object.
 	// It is empty if the platform stores none. Create and Update don't change it.
