roster: a record that can't be decoded has not expired

Cause: after an outage of the store, an endpoint whose record is missing stays in use until records that expired meanwhile may be back. A record that can't be decoded was handled as a missing one, so an entry that another writer made odd during the outage kept its endpoint in use for up to 2 s after it.

Change: Directory.Discard drops such an endpoint at once; Remove is for records that were deleted.

--- a/gateway/objecthandlers.go
+++ b/gateway/objecthandlers.go
@@ -70,9 +70,12 @@
 	listed := make(map[string]bool, len(objs))
 	for i := range objs {
 		listed[objs[i].Name] = true
-		if e, ok := h.decode(&objs[i]); ok {
-			all = append(all, e)
+		e, ok := h.decode(&objs[i])
+		if !ok {
+			h.directory.Discard(hbs.EndpointID(objs[i].Name))
+			continue
 		}
+		all = append(all, e)
 	}
 	maps.DeleteFunc(h.odd, func(name string, _ hbs.Revision) bool { return !listed[name] })
 	for i := range all {
@@ -113,7 +116,7 @@
 	}
 	e, ok := h.decode(&ev.Object)
 	if !ok {
-		h.directory.Remove(id)
+		h.directory.Discard(id)
 		return
 	}
 	h.directory.Put(e)
--- a/gateway/oddentry_test.go
+++ b/gateway/oddentry_test.go
@@ -270,6 +270,32 @@
 		})
 	})
 
+	// Guards against an endpoint that is used on because its entry, which turned odd during
+	// an outage, is taken for one that expired.
+	DescribeTable("names no endpoint at once after an outage of the store in which it turned odd", func(compacted bool) {
+		withFleet(func(f *fleet) {
+			f.store.Outage(4500 * time.Millisecond)
+			odd := f.services[0]
+			f.Expect(f.store.PutVerbatim(platform.KindEndpoints, string(odd.ID), []byte(deeply(20_000)))).To(Succeed())
+			if compacted {
+				f.store.Compact()
+			}
+			// Until its routes are known to be the newest, an instance refuses requests.
+			for f.logCount("record names no endpoint") < len(f.instances) || f.logCount("store regained") < watchedKinds*len(f.instances) {
+				time.Sleep(50 * time.Millisecond)
+			}
+			time.Sleep(100 * time.Millisecond)
+			for range 4 {
+				a := f.send(call{path: "/write/x"})
+				f.Expect(a.status).To(Equal(http.StatusOK), a.body)
+			}
+			f.Expect(odd.Runs()).To(BeEmpty())
+		})
+	},
+		Entry("if it is watched", false),
+		Entry("if it is listed", true),
+	)
+
 	// Guards against an engine that is taken for gone because its status is odd.
 	It("is used if its status alone is odd", func() {
 		withFleet(func(f *fleet) {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -3,8 +3,8 @@
 //
 // Rules:
 //
-//  1. A record that can't be decoded describes no endpoint; other records are not
-//     affected.
+//  1. A record that can't be decoded describes no endpoint, and ends new work there
+//     at once; other records are not affected.
 //  2. A record that reports its endpoint as leaving, or that is removed, ends new
 //     work there at once.
 //  3. Records expire during an outage of the platform, and live endpoints
@@ -142,7 +142,21 @@
 	d.publish()
 }
 
-// Remove handles a record that was deleted or that can't be decoded.
+// Discard handles a record that can't be decoded (rule 1). It has not expired, so rule
+// 3 does not apply to it.
+func (d *Directory) Discard(id hbs.EndpointID) {
+	d.init()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if _, ok := d.records[id]; !ok {
+		return
+	}
+	delete(d.missing, id)
+	d.removeEndpoint(id)
+	d.publish()
+}
+
+// Remove handles a record that was deleted.
 func (d *Directory) Remove(id hbs.EndpointID) {
 	d.init()
 	d.mu.Lock()
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -88,6 +88,27 @@
 		})
 	})
 
+	// Guards against an endpoint that is used on because its record, which another
+	// writer made odd during an outage, is taken for one that expired.
+	It("drops an endpoint at once when its record can't be decoded, also soon after an outage (rule 1)", func() {
+		withDirectory(func(g *WithT, d *roster.Directory) {
+			d.Put(engine("a", "1"))
+			d.Put(engine("b", "1"))
+			time.Sleep(10 * time.Second)
+			d.PlatformRecovered()
+			d.Discard("a")
+			g.Expect(states(d)).To(HaveLen(1))
+			g.Expect(states(d)).To(HaveKey(hbs.EndpointID("b")))
+			d.Remove("b")
+			d.Discard("b")
+			g.Expect(states(d)).To(BeEmpty())
+			d.Put(engine("b", "1"))
+			time.Sleep(2 * gracePeriod)
+			d.ApplyTimeouts()
+			g.Expect(states(d)).To(HaveLen(1))
+		})
+	})
+
 	It("prefers the weights that an endpoint reports over those in its record (rule 4)", func() {
 		withDirectory(func(g *WithT, d *roster.Directory) {
 			d.Put(engine("a", "1"))
