gateway: a response that was outstanding during a suspension is not the newest state

What callers saw: possibly, right after a machine had been suspended, requests with keys that were revoked meanwhile; not seen, found while looking for other places of the cause of old weights after a suspension.

Cause: the route table, and the versions of weights, count as current as of the last response of a watch, and the time suspended since then is added. A response that was sent before the suspension or during it, and is read after it, was booked as of after the suspension.

Change: such a response's changes are applied, but it doesn't count as the newest state; the watch starts anew, which asks the store at once. Likewise for a listing.

Measured, before: the new test had one watch for ten suspensions, each of its responses counted as current. After: each suspension starts the watch anew; specs of gateway pass.

--- a/gateway/assemble.go
+++ b/gateway/assemble.go
@@ -187,5 +187,5 @@
 
 // newWatcher returns a watcher that passes the objects of a kind to handler.
 func (g *Gateway) newWatcher(kind hbs.ObjectKind, handler objectHandler) *watcher {
-	return &watcher{platform: g.store, kind: kind, handler: handler, log: g.Log.Named("store")}
+	return &watcher{platform: g.store, kind: kind, handler: handler, log: g.Log.Named("store"), suspended: g.Suspended}
 }
--- a/gateway/watcher.go
+++ b/gateway/watcher.go
@@ -33,6 +33,8 @@
 	// unreachableAfter is the time without a response after which the store
 	// counts as unreachable.
 	unreachableAfter = watchWait + 1500*time.Millisecond
+	// suspendTolerance is larger than the measurement error of suspended.
+	suspendTolerance = 20 * time.Millisecond
 	// eventBacklog is how many events may be queued for the handler.
 	eventBacklog = 64
 )
@@ -43,6 +45,8 @@
 	kind     hbs.ObjectKind
 	handler  objectHandler
 	log      *zap.Logger
+	// suspended returns the total time for which the machine has been suspended.
+	suspended func() time.Duration
 
 	// lastResponse is when the store last responded. unreachable is set when a
 	// call fails at least unreachableAfter later.
@@ -74,22 +78,29 @@
 	return ctx.Err()
 }
 
-// list passes a complete listing to the handler and returns its revision.
+// list passes a complete listing to the handler and returns its revision. One during
+// which the machine was suspended doesn't count as the newest state; see watch.
 func (w *watcher) list(ctx context.Context) (hbs.Revision, error) {
-	start := time.Now()
+	start, suspended := time.Now(), w.suspended()
 	objs, rev, err := w.platform.List(ctx, w.kind)
 	if err != nil {
 		return 0, err
 	}
 	w.recordResponse()
 	w.handler.replace(objs)
-	w.handler.synced(start)
+	if w.suspended()-suspended <= suspendTolerance {
+		w.handler.synced(start)
+	}
 	w.log.Info("objects listed", zap.String("kind", string(w.kind)), zap.Int("objects", len(objs)), zap.Uint64("revision", uint64(rev)))
 	return rev, nil
 }
 
 // watch passes changes to the handler until the watch ends. It returns the
 // revision to resume from, or 0 if the kind has to be listed again.
+//
+// A response that was outstanding while the machine was suspended may be as old as
+// the suspension is long, which its AsOf doesn't tell. It doesn't count as the newest
+// state, and the watch starts anew, which asks the store at once.
 func (w *watcher) watch(ctx context.Context, since hbs.Revision, pause *backoff.ExponentialBackOff) (hbs.Revision, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	events := make(chan hbs.WatchEvent, eventBacklog)
@@ -99,15 +110,22 @@
 		defer close(events)
 		err = w.platform.Watch(ctx, w.kind, since, events)
 	})
+	suspended := w.suspended()
 	for ev := range events {
 		w.recordResponse()
 		pause.Reset()
-		if ev.Bookmark {
-			since = ev.Object.Revision
-			w.handler.synced(ev.AsOf)
+		if !ev.Bookmark {
+			w.handler.apply(ev)
 			continue
 		}
-		w.handler.apply(ev)
+		since = ev.Object.Revision
+		if d := w.suspended() - suspended; d > suspendTolerance {
+			w.log.Info("watch starts anew after a suspension", zap.String("kind", string(w.kind)), zap.Duration("suspended", d))
+			cancel()
+			wg.Wait()
+			return since, nil
+		}
+		w.handler.synced(ev.AsOf)
 	}
 	cancel()
 	wg.Wait()
