dispatch: attempts that failed are logged with the parts of their prompts

Cause: when engines crash one after the other, the lines of the attempts that they broke off name one prefix each, by a hash. They don't tell which part of the prompts, as callers name it, the crashes have in common.

Change: a request carries the IDs of its prompt's parts without the last, and 'attempt ended' lists them unless the attempt completed. Nothing else uses them yet.

Measured: no change of behaviour; specs of gateway, dispatch and catalog pass.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -225,6 +225,11 @@
 		// the one before it identifies the common prefix.
 		fields = append(fields, zap.String("prefix", strconv.FormatUint(uint64(s.req.Levels[n-2].Key), 36)))
 	}
+	if res.End != hbs.EndComplete && len(s.req.Parts) > 0 {
+		// The parts that several engines had in common when they ended tell what
+		// broke them.
+		fields = append(fields, zap.Strings("parts", partNames(s.req.Parts)))
+	}
 	if p.LoadFrom.IsValid() {
 		fields = append(fields, zap.Stringer("load_from", p.LoadFrom))
 	}
@@ -237,6 +242,14 @@
 	s.Log.Info("attempt ended", fields...)
 }
 
+func partNames(parts []hbs.PartID) []string {
+	names := make([]string, len(parts))
+	for i, p := range parts {
+		names[i] = string(p)
+	}
+	return names
+}
+
 // recordAttempt records whether an attempt was sent and whether it may have run
 // (rule 4).
 func (s *requestState) recordAttempt(res *attempt.Result) {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -142,6 +143,7 @@
 	if q.Model != "" {
 		q.PromptTokens, q.ExpectedTokens = p.PromptTokens, max(p.OutputTokens, 1)
 		q.Levels = levels(q, p.Prompt)
+		q.Parts = sharedParts(p.Prompt)
 	}
 }
 
@@ -181,6 +183,23 @@
 	return ls
 }
 
+// maxPartID is the longest part ID that is kept as it is, in bytes.
+const maxPartID = 64
+
+// sharedParts returns the IDs of all parts but the last, which is the request's own.
+// A longer ID than maxPartID is replaced by its hash.
+func sharedParts(parts []platform.PromptPart) []hbs.PartID {
+	var ids []hbs.PartID
+	for i := range len(parts) - 1 {
+		id := parts[i].ID
+		if len(id) > maxPartID {
+			id = strconv.FormatUint(xxhash.Sum64String(id), 16)
+		}
+		ids = append(ids, hbs.PartID(id))
+	}
+	return ids
+}
+
 // levelKey returns the key of the prefix that ends with a part. A part ID
 // occurs at only one place in prompts, so it also stands for everything before
 // it; engines report only the part's ID in their cache events. Requests in
--- a/request.go
+++ b/request.go
@@ -40,6 +40,10 @@
 	Tokens int
 }
 
+// PartID identifies one part of a prompt, as the caller names it. It occurs only in
+// prompts for one model, whatever the workspace.
+type PartID string
+
 // Request is a decoded request of a caller. It does not change after decoding;
 // admission sets Favoured on a copy.
 type Request struct {
@@ -67,6 +71,9 @@
 	// Levels are the nested prefixes of the prompt, shortest first. The last
 	// covers the whole prompt. Empty for services.
 	Levels []Level
+	// Parts are the parts of the prompt that other requests may share: all but the
+	// last, in order. Empty where callers don't name parts.
+	Parts []PartID
 	// PromptTokens is the estimated length of the prompt. ExpectedTokens is the
 	// expected length of the response, at least 1 for requests to models.
 	PromptTokens, ExpectedTokens int
