standin/pool: engines that crash, by themselves or under a part of a prompt

Cause: no stand-in of the hosting platform's engines ended by itself, so no spec could show what instances do when engines crash under one kind of request.

Change: an endpoint can be crashed: it closes its listener and its connections and is back after a given time as a new incarnation. The fault DeadlyPart does this when a request with the part, other than as its last one, is about to be answered. Runs have the time at which they began.

--- a/standin/pool/pool.go
+++ b/standin/pool/pool.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -29,6 +30,8 @@
 	// After is the number of the last event that the caller had received, 0 unless the
 	// request resumes a stream.
 	After int
+	// At is when the endpoint got the request.
+	At time.Time
 }
 
 // Faults are the injected faults. They apply to all requests until they are
@@ -47,6 +50,11 @@
 	DropOrderAnswer bool
 	// Busy refuses orders as if another one were in progress.
 	Busy bool
+	// DeadlyPart is the ID of a part of a prompt. An engine that begins to answer a
+	// request with it, other than as the last part, crashes and is back after DownTime
+	// as a new incarnation. Empty means none.
+	DeadlyPart string
+	DownTime   time.Duration
 	// Endless, if not nil, answers every request, order and poll in place of the
 	// endpoint, at EndlessRate.
 	Endless     *endless.Response
@@ -83,6 +91,12 @@
 	loading bool
 	// canceled counts requests whose caller disconnected before the end.
 	canceled int
+	// crashes has the time of each crash. crash ends the incarnation that serves; it
+	// is nil while none does.
+	crashes []time.Time
+	crash   context.CancelFunc
+	// downTime is the time after the last crash until the next incarnation starts.
+	downTime time.Duration
 	// cacheEvents holds one event for each prompt part that was computed.
 	cacheEvents [][]any
 }
@@ -192,13 +206,59 @@
 	return e.canceled
 }
 
-// Serve serves until ctx ends.
+// Crashes returns the time of each crash.
+func (e *Endpoint) Crashes() []time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]time.Time(nil), e.crashes...)
+}
+
+// Crash ends the incarnation that serves, without completing what it runs. The
+// next one starts after down.
+func (e *Endpoint) Crash(down time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.crash == nil {
+		return
+	}
+	e.crashes = append(e.crashes, time.Now())
+	e.crash()
+	e.crash, e.downTime = nil, down
+}
+
+// Serve serves until ctx ends. After a crash it starts the next incarnation.
 func (e *Endpoint) Serve(ctx context.Context) (err error) {
 	defer func() { err = errors.Wrapf(err, "endpoint %s", e.ID) }()
+	for {
+		if err := e.serveIncarnation(ctx); ctx.Err() != nil || !errors.Is(err, context.Canceled) {
+			return err
+		}
+		e.mu.Lock()
+		down := e.downTime
+		e.Started++
+		e.mu.Unlock()
+		if err := delay.For(ctx, down); err != nil {
+			return err
+		}
+		e.changed()
+	}
+}
+
+// serveIncarnation serves until ctx ends or the endpoint crashes.
+func (e *Endpoint) serveIncarnation(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	l, err := e.Network.Listen(e.Address)
 	if err != nil {
 		return err
 	}
+	e.mu.Lock()
+	e.crash = func() {
+		// Nobody can connect to an endpoint that has crashed.
+		_ = l.Close()
+		cancel()
+	}
+	e.mu.Unlock()
 	m := http.NewServeMux()
 	m.HandleFunc("GET /v1/report", e.serveReport)
 	m.HandleFunc("POST /v1/order", e.serveOrder)
@@ -279,6 +339,10 @@
 	if faults.DropAnswer {
 		panic(http.ErrAbortHandler)
 	}
+	if hasSharedPart(r.Header, faults.DeadlyPart) {
+		e.Crash(faults.DownTime)
+		panic(http.ErrAbortHandler)
+	}
 	id := r.Header.Get("X-Request-Id")
 	if faults.Cross {
 		id = "of-another"
@@ -317,10 +381,21 @@
 	}
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	e.logCacheEvents(r.Header)
-	e.runs = append(e.runs, Run{r.Header.Get("X-Request-Id"), r.RequestURI, string(body), r.Header.Clone(), after})
+	e.runs = append(e.runs, Run{r.Header.Get("X-Request-Id"), r.RequestURI, string(body), r.Header.Clone(), after, time.Now()})
 	return false, e.faults
 }
 
+// hasSharedPart reports whether a prompt has the part, other than as its last one.
+func hasSharedPart(h http.Header, part string) bool {
+	parts := strings.Split(h.Get("X-Prefix-Hash"), ",")
+	for _, p := range parts[:len(parts)-1] {
+		if id, _, _ := strings.Cut(p, ":"); part != "" && id == part {
+			return true
+		}
+	}
+	return false
+}
+
 func (e *Endpoint) countCanceled() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
