quarantine: finds the parts of prompts that crash engines

Cause: nothing looks for what the requests under which engines crash have in common. Each crash is a broken connection, and the request goes on to the next engine.

Change: package quarantine keeps, for each part of a prompt, the crashes that count against it, and refuses requests with a part that is to blame. Instances tell each other what they saw by one object each in the store, written only when there is news and removed when it tells nothing more. Nothing uses the package yet.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -25,6 +25,7 @@
 	"github.com/hornbeamstage/hornbeamstage/permit"
 	"github.com/hornbeamstage/hornbeamstage/placement"
 	"github.com/hornbeamstage/hornbeamstage/platform"
+	"github.com/hornbeamstage/hornbeamstage/quarantine"
 	"github.com/hornbeamstage/hornbeamstage/retry"
 	"github.com/hornbeamstage/hornbeamstage/weights"
 )
@@ -47,6 +48,7 @@
 		peer.Knobs,
 		placement.Knobs,
 		platform.Knobs,
+		quarantine.Knobs,
 		retry.Knobs,
 	)
 }
@@ -73,6 +75,7 @@
 		peer.Meters,
 		placement.Meters,
 		platform.Meters,
+		quarantine.Meters,
 		retry.Meters,
 	)
 }
--- a/outcome.go
+++ b/outcome.go
@@ -51,6 +51,7 @@
 	ReasonAnswerMismatch  Reason = "answer_mismatch"
 	ReasonIncomplete      Reason = "stream_incomplete"
 	ReasonEndpointError   Reason = "endpoint_error"
+	ReasonQuarantined     Reason = "part_quarantined"
 	ReasonCanceled        Reason = "canceled"
 	ReasonInternal        Reason = "internal"
 )
@@ -92,6 +93,7 @@
 	{ReasonAnswerMismatch, http.StatusBadGateway, "answer mismatch", "The response belonged to another attempt and was discarded."},
 	{ReasonIncomplete, http.StatusBadGateway, "stream incomplete", "The stream ended early and could not be resumed."},
 	{ReasonEndpointError, http.StatusBadGateway, "endpoint error", "The endpoint returned an error."},
+	{ReasonQuarantined, http.StatusServiceUnavailable, "part quarantined", "Engines crashed on requests that have a part of the prompt in common, so requests with that part are not sent to engines for some time."},
 	{ReasonCanceled, 499, "canceled", "The caller disconnected before the response was complete."},
 	{ReasonInternal, http.StatusInternalServerError, "internal error", "An error in the router; its log contains the cause."},
 }
--- /dev/null
+++ b/quarantine/judge.go
@@ -0,0 +1,157 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	hbs "github.com/hornbeamstage/hornbeamstage"
+)
+
+// enough returns the number of crashes that make a part suspect.
+func (t *Tracker) enough(model hbs.ModelName) int {
+	return int(t.Policy.Number(KnobCrashes, hbs.Scope{Model: model}))
+}
+
+// suspect makes a part suspect, or no longer, by its crashes (rule 4).
+func (t *Tracker) suspect(k partKey, p *part, now time.Time) {
+	if !p.until.IsZero() || len(p.crashes) < t.enough(k.model) || t.distinctCrashes(p) < t.enough(k.model) {
+		p.suspectSince, p.trial = time.Time{}, ""
+		delete(t.suspects, k)
+		return
+	}
+	if t.suspects == nil {
+		t.suspects = map[partKey]*part{}
+	}
+	t.suspects[k] = p
+	if p.suspectSince.IsZero() {
+		p.suspectSince = now
+	}
+}
+
+// answered applies rule 3 for an answer given at a time. It reports whether others
+// have to know of it.
+func (t *Tracker) answered(k partKey, p *part, at time.Time, why string) (news bool) {
+	if !p.until.IsZero() && !at.After(p.from) {
+		return false
+	}
+	news = p.told && (!p.until.IsZero() || len(p.crashes) > 0)
+	if !p.until.IsZero() {
+		t.release(k, p, at, why)
+	}
+	p.forget(at)
+	if len(p.crashes) == 0 {
+		p.told = false
+	}
+	t.suspect(k, p, at)
+	return news
+}
+
+// quarantined reports whether a part is quarantined, and ends a quarantine whose time
+// has passed (rule 8).
+func (t *Tracker) quarantined(k partKey, p *part, now time.Time) bool {
+	if p.until.IsZero() {
+		return false
+	}
+	if now.Before(p.until) {
+		return true
+	}
+	t.release(k, p, now, "its time passed")
+	return false
+}
+
+// release ends a quarantine. Crashes count anew.
+func (t *Tracker) release(k partKey, p *part, now time.Time, why string) {
+	t.count(meterReleased)
+	t.log().Info("part released", zap.String("model", string(k.model)), zap.String("part", string(k.id)),
+		zap.Duration("quarantined_for", now.Sub(p.from)), zap.String("why", why))
+	p.until, p.own = time.Time{}, false
+	p.forget(now)
+}
+
+// judge quarantines the suspects that are due for it, that with the most crashes first
+// (rule 5). It reports whether there was one.
+func (t *Tracker) judge(now time.Time) (news bool) {
+	for len(t.suspects) > 0 {
+		k, p := t.mostBlamed(now)
+		if p == nil {
+			return news
+		}
+		d := t.Policy.Duration(KnobDuration, hbs.Scope{Model: k.model})
+		for range p.offences {
+			d = min(2*d, maxDuration)
+		}
+		p.own, news = true, true
+		t.quarantine(k, p, now, min(d, maxDuration), "")
+	}
+	return news
+}
+
+// settle judges suspects. It reports whether there is something to tell.
+func (t *Tracker) settle() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.judge(time.Now())
+}
+
+// mostBlamed returns the part to be quarantined first, nil if there is none.
+func (t *Tracker) mostBlamed(now time.Time) (most partKey, blamed *part) {
+	crashes := 0
+	for k, p := range t.suspects {
+		p.expire(now)
+		n, enough := t.distinctCrashes(p), t.enough(k.model)
+		answered, share := p.others(t.balance(k.model))
+		switch {
+		case n < enough:
+			t.suspect(k, p, now)
+		case now.Sub(p.suspectSince) < settleTime, answered < n, float64(n)*share < minEvidence*float64(enough):
+		case len(p.crashes) > crashes || len(p.crashes) == crashes && k.id < most.id:
+			most, blamed, crashes = k, p, len(p.crashes)
+		}
+	}
+	return most, blamed
+}
+
+// quarantine begins a quarantine, which another instance told of if from is not
+// empty.
+func (t *Tracker) quarantine(k partKey, p *part, now time.Time, d time.Duration, from string) {
+	t.count(meterQuarantined)
+	engines := make([]string, 0, len(p.crashes))
+	for id := range p.crashes {
+		engines = append(engines, string(id.endpoint))
+	}
+	slices.Sort(engines)
+	p.offences++
+	answered, share := p.others(t.balance(k.model))
+	t.log().Warn("part quarantined", zap.String("model", string(k.model)), zap.String("part", string(k.id)),
+		zap.Int("crashes", len(engines)), zap.Int("distinct", t.distinctCrashes(p)), zap.Int("others_answered", answered), zap.Float64("share_answered", share),
+		zap.Strings("engines", engines), zap.Duration("first_crash", now.Sub(p.firstCrash(now))),
+		zap.Duration("for", d), zap.Int("offence", p.offences), zap.String("told_by", from))
+	p.from, p.until, p.told = now, now.Add(d), true
+	t.suspect(k, p, now)
+	t.explainAway(k, p, now)
+}
+
+// explainAway drops the crashes that a quarantined part explains from the parts that
+// were at only some of them (rule 5).
+func (t *Tracker) explainAway(by partKey, explained *part, now time.Time) {
+	for k, p := range t.parts {
+		if k.model != by.model || p == explained || !p.until.IsZero() {
+			continue
+		}
+		var shared []crashID
+		for id := range p.crashes {
+			if _, ok := explained.crashes[id]; ok {
+				shared = append(shared, id)
+			}
+		}
+		if len(shared) == 0 || len(shared) == len(explained.crashes) {
+			continue
+		}
+		for _, id := range shared {
+			delete(p.crashes, id)
+		}
+		t.suspect(k, p, now)
+	}
+}
--- /dev/null
+++ b/quarantine/part.go
@@ -0,0 +1,239 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	hbs "github.com/hornbeamstage/hornbeamstage"
+)
+
+// partKey identifies a part.
+type partKey struct {
+	model hbs.ModelName
+	id    hbs.PartID
+}
+
+// crashID identifies the crash of one incarnation of an engine.
+type crashID struct {
+	endpoint    hbs.EndpointID
+	incarnation hbs.Incarnation
+}
+
+// crash is a crash that counts against a part.
+type crash struct {
+	at time.Time
+	// own is set if this instance saw it.
+	own bool
+}
+
+// part is what is known about one part.
+type part struct {
+	// crashes are those that count, all later than since.
+	crashes map[crashID]crash
+	// since is the time of the last answer or the end of the last quarantine; zero
+	// without either.
+	since time.Time
+	// before is the balance of the model at the first crash, and crashedUnder the
+	// number of own attempts with the part under which an engine crashed since.
+	before       balance
+	crashedUnder int
+	// lastCrash is the time of the latest crash.
+	lastCrash time.Time
+	// suspectSince is when the part became suspect; zero if it is not.
+	suspectSince time.Time
+	// trial is the request that tries the part, since trialStart; empty for none.
+	trial      hbs.RequestID
+	trialStart time.Time
+	// told is set once a crash or quarantine was told to or by other instances, who
+	// then have to know of an answer too.
+	told bool
+	// answeredAt is the time of the last answer that others have to know of; zero for
+	// none.
+	answeredAt time.Time
+	// until is the end of the quarantine, since from; zero while there is none.
+	from, until time.Time
+	// own is set if this instance itself found the quarantine to be due.
+	own bool
+	// offences is the number of quarantines so far.
+	offences int
+	// touched is when a crash was last added.
+	touched time.Time
+}
+
+// mayTry reports whether a request may try the part (rule 6).
+func (p *part) mayTry(now time.Time) bool {
+	return now.Sub(p.lastCrash) >= trialPause && (p.trial == "" || now.Sub(p.trialStart) >= trialTime)
+}
+
+// forget drops the crashes up to at, which no longer count.
+func (p *part) forget(at time.Time) {
+	if !at.After(p.since) {
+		return
+	}
+	p.since = at
+	for id, c := range p.crashes {
+		if !c.at.After(at) {
+			delete(p.crashes, id)
+		}
+	}
+}
+
+// expire drops the crashes that no longer count (rule 7).
+func (p *part) expire(now time.Time) {
+	for id, c := range p.crashes {
+		if now.Sub(c.at) > evidenceTTL {
+			delete(p.crashes, id)
+		}
+	}
+}
+
+// firstCrash returns the time of the first crash that counts, or now without one.
+func (p *part) firstCrash(now time.Time) time.Time {
+	for _, c := range p.crashes {
+		now = earlier(now, c.at)
+	}
+	return now
+}
+
+// others returns how many attempts without the part were answered since its first
+// crash, and their share of those that were answered or crashed under, with
+// priorCrashed more of the latter.
+func (p *part) others(b balance) (answered int, share float64) {
+	answered = b.answered - p.before.answered
+	crashed := max(b.crashed-p.before.crashed-p.crashedUnder, 0)
+	return answered, float64(answered) / float64(answered+crashed+priorCrashed)
+}
+
+// idle reports whether nothing of a part is of use any more.
+func (p *part) idle(now time.Time) bool {
+	if !p.until.IsZero() || now.Sub(p.answeredAt) <= answerTTL || p.offences > 0 && now.Sub(p.touched) < 2*maxDuration {
+		return false
+	}
+	p.expire(now)
+	return len(p.crashes) == 0
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// part returns a part, which it adds if it is new. It returns nil if there is no
+// room.
+func (t *Tracker) part(k partKey, now time.Time) *part {
+	if p := t.parts[k]; p != nil {
+		return p
+	}
+	if t.parts == nil {
+		t.parts = map[partKey]*part{}
+	}
+	if len(t.parts) >= maxParts && !t.evict() {
+		return nil
+	}
+	p := &part{crashes: map[crashID]crash{}, touched: now}
+	t.parts[k] = p
+	return p
+}
+
+// evict removes the part whose last crash is the oldest and that is not quarantined.
+func (t *Tracker) evict() bool {
+	var oldest partKey
+	found := false
+	for k, p := range t.parts {
+		if p.until.IsZero() && (!found || p.touched.Before(t.parts[oldest].touched)) {
+			oldest, found = k, true
+		}
+	}
+	delete(t.parts, oldest)
+	delete(t.suspects, oldest)
+	return found
+}
+
+// addCrash adds a crash that counts against a part, unless it is too old.
+func (t *Tracker) addCrash(k partKey, id crashID, c crash, now time.Time) {
+	p := t.part(k, now)
+	if p == nil {
+		return
+	}
+	if c.own {
+		p.crashedUnder++
+	} else {
+		p.told = true
+	}
+	p.expire(now)
+	old, known := p.crashes[id]
+	if known {
+		c = crash{earlier(c.at, old.at), c.own || old.own}
+	}
+	if !c.at.After(p.since) || now.Sub(c.at) > evidenceTTL || !known && len(p.crashes) >= maxCrashes {
+		return
+	}
+	if len(p.crashes) == 0 {
+		p.before, p.crashedUnder = t.balances[k.model].at(c.at), 0
+		if c.own {
+			p.before = t.balance(k.model)
+			p.before.crashed--
+			p.crashedUnder = 1
+		}
+	}
+	p.crashes[id] = c
+	p.touched = now
+	if c.at.After(p.lastCrash) {
+		p.lastCrash = c.at
+	}
+	t.suspect(k, p, now)
+}
+
+// distinctCrashes returns the number of crashes by rule 2.
+func (t *Tracker) distinctCrashes(p *part) int {
+	at := make([]time.Time, 0, len(p.crashes))
+	for _, c := range p.crashes {
+		at = append(at, c.at)
+	}
+	slices.SortFunc(at, time.Time.Compare)
+	n := 0
+	var last time.Time
+	for _, a := range at {
+		if (n == 0 || a.Sub(last) >= sameMoment) && t.explains(p, a) {
+			n, last = n+1, a
+		}
+	}
+	return n
+}
+
+// explains reports whether a part was at minExplained or more of the engines that
+// crashed within sameMoment of a time.
+func (t *Tracker) explains(p *part, at time.Time) bool {
+	with, all := 0, 0
+	for _, m := range t.moments[t.firstMoment(at.Add(-sameMoment)):] {
+		if m.at.Sub(at) > sameMoment {
+			break
+		}
+		all++
+		if _, ok := p.crashes[m.id]; ok {
+			with++
+		}
+	}
+	return float64(with) >= minExplained*float64(all)
+}
+
+// firstMoment returns the index of the first crash that is not before a time.
+func (t *Tracker) firstMoment(at time.Time) int {
+	i, _ := slices.BinarySearchFunc(t.moments, at, func(m moment, at time.Time) int { return m.at.Compare(at) })
+	return i
+}
+
+// addMoment records the time of a crash, unless it is known.
+func (t *Tracker) addMoment(id crashID, at, now time.Time) {
+	old := 0
+	for old < len(t.moments) && (now.Sub(t.moments[old].at) > evidenceTTL || len(t.moments)-old >= maxMoments) {
+		old++
+	}
+	t.moments = slices.Delete(t.moments, 0, old)
+	if slices.ContainsFunc(t.moments, func(m moment) bool { return m.id == id }) {
+		return
+	}
+	t.moments = slices.Insert(t.moments, t.firstMoment(at), moment{at, id})
+}
