dispatch, gateway: parts of prompts that crash engines are kept from them

Cause: a crash is a broken connection to one attempt and to one instance. The request was sent to the next engine, which crashed too, and so were all others with the same part. No instance saw what they had in common.

Change: when an attempt at an engine breaks before two events were written, one dial finds out whether anything listens there; if not, the engine crashed, and package quarantine is told. It decides on arrival and right before each attempt sends (first, retry, resumption, hedge, and what was queued meanwhile). Refusals are 503, not run, reason part_quarantined. A request under which two engines crashed, or one if each of its parts has a further crash, is not sent to another. Instances tell each other through objects of the kind 'crashes', with a watch that waits 10 s.

--- a/attempt/attempt.go
+++ b/attempt/attempt.go
@@ -110,6 +110,9 @@
 	// LastEvent is the last event that Sink received. It is set only for a broken
 	// stream that another attempt can continue.
 	LastEvent string
+	// Crashed is set if the endpoint crashed under the attempt, and NoRetry if
+	// therefore the request must not be sent again. The Runner knows neither.
+	Crashed, NoRetry bool
 	// EventStream is set if the response is a stream of server-sent events.
 	EventStream bool
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -18,6 +18,12 @@
 //     Start, and whoever owns the connection must abort it.
 //  6. All attempts end immediately when the caller disconnects or the deadline
 //     passes.
+//  7. A request that Crashes refuses is not sent to an engine: not on arrival, and
+//     not right before an attempt sends it, since it may have waited meanwhile. When
+//     the connection to an engine breaks before an attempt has written two events,
+//     one dial finds out whether the engine crashed: then nothing listens there. A
+//     request under which maxCrashes engines crashed is not sent to another, and one
+//     of which Crashes says so already after the first.
 package dispatch
 
 import (
@@ -54,11 +60,14 @@
 	Sender attempt.Runner
 	// CountRefused is passed to retry.Policy.
 	CountRefused bool
+	// Crashes keeps requests from engines that they would crash; may be nil.
+	Crashes hbs.CrashWatch
 
 	once      sync.Once
 	admission *admission.Controller
 	retries   *retry.Policy
 	hedges    *hedge.Policy
+	probes    crashProbes
 }
 
 // init builds the components on first use.
@@ -124,12 +133,21 @@
 	tried                   []hbs.EndpointID
 	// mayHaveRun is set once an endpoint may have run the request.
 	mayHaveRun bool
+	// crashes counts the attempts whose engine crashed. noRetry is set if the request
+	// must not be sent again (rule 7).
+	crashes int
+	noRetry bool
 	// lastEvent is the ID of the last event that the caller received of a
 	// broken stream.
 	lastEvent string
 }
 
 func (s *requestState) serve(ctx context.Context) (hbs.Outcome, error) {
+	if s.Crashes != nil {
+		if r := s.Crashes.Check(s.req); r != nil {
+			return s.refuse(r)
+		}
+	}
 	p, err := s.admission.Place(ctx, s.req)
 	if err != nil {
 		return s.refuse(err)
@@ -137,7 +155,7 @@
 	for {
 		res := s.runHedged(ctx, p)
 		s.trackResumption(&res)
-		if !s.retries.Allow(s.req, &res, s.startedCount, s.sentCount) {
+		if s.noRetry || !s.retries.Allow(s.req, &res, s.startedCount, s.sentCount) {
 			return s.conclude(&res)
 		}
 		next, ok := s.placeRetry(ctx, &res)
@@ -193,7 +211,11 @@
 // runAttempt runs one attempt, releases its placement and credits the budgets
 // for retries and hedges if it completed.
 func (s *requestState) runAttempt(ctx context.Context, c *attempt.Call) attempt.Result {
+	w := s.watchCrash(c)
 	res := s.Sender.Run(ctx, c)
+	if w != nil {
+		w.conclude(ctx, &res)
+	}
 	s.logAttempt(c, &res)
 	s.admission.Finish(s.req, c.Placement, res.AttemptResult)
 	if res.End == hbs.EndComplete {
@@ -218,7 +240,7 @@
 		zap.Duration("predicted_wait", p.Wait), zap.Duration("predicted_first", p.FirstToken), zap.Int("priority", p.Priority),
 		zap.String("end", string(res.End)), zap.Int("status", res.Status),
 		zap.Duration("first", res.FirstToken), zap.Duration("took", res.Duration), zap.Int("tokens", res.OutputTokens),
-		zap.Duration("longest_pause", res.LongestPause),
+		zap.Duration("longest_pause", res.LongestPause), zap.Bool("crashed", res.Crashed),
 	}
 	if n := len(s.req.Levels); n > 1 {
 		// The last level usually includes text that no other request shares, so
@@ -259,6 +281,10 @@
 	if res.Refusal == nil || res.Refusal.Outcome != hbs.OutcomeNotRun {
 		s.mayHaveRun = true
 	}
+	if res.Crashed {
+		s.crashes++
+		s.noRetry = s.noRetry || res.NoRetry || s.crashes >= maxCrashes
+	}
 }
 
 // refuse returns err as a refusal, with the refusal's outcome.
--- a/gateway/assemble.go
+++ b/gateway/assemble.go
@@ -15,6 +15,7 @@
 	"github.com/hornbeamstage/hornbeamstage/placement"
 	"github.com/hornbeamstage/hornbeamstage/platform"
 	"github.com/hornbeamstage/hornbeamstage/presence"
+	"github.com/hornbeamstage/hornbeamstage/quarantine"
 	"github.com/hornbeamstage/hornbeamstage/retry"
 	"github.com/hornbeamstage/hornbeamstage/roster"
 )
@@ -62,6 +63,10 @@
 	bufferShare = 0.1
 )
 
+// longWaits has the kinds whose changes are rare and of which an instance need not
+// know that it has the newest. A longer wait saves calls.
+var longWaits = map[hbs.ObjectKind]time.Duration{quarantine.Kind: 10 * time.Second}
+
 // assemble builds the components in dependency order.
 func (g *Gateway) assemble() {
 	self := hbs.Instance{
@@ -101,7 +106,7 @@
 func (g *Gateway) assembleStore(self hbs.Instance) {
 	s := g.PlatformSettings
 	g.store = &platform.Client{
-		Address: s.Store, Network: g.Network, Timeout: callTimeout, Form: s.Form, WatchWait: watchWait,
+		Address: s.Store, Network: g.Network, Timeout: callTimeout, Form: s.Form, WatchWait: watchWait, LongWaits: longWaits,
 		ReadsPerSecond: storeRateShare * s.ReadsPerSecond, WritesPerSecond: storeRateShare * s.WritesPerSecond,
 		Policy: g.policy, Metrics: g.Metrics,
 	}
@@ -118,6 +123,8 @@
 		Seed: g.Seed, Log: g.Log.Named("placement"), Scope: placement.ScopeRegion, EqualWeights: true, GrowDemand: growDemand,
 		TransferRate: g.routes.transferRate, StoreReported: true, HasStore: func() bool { return g.routes.kvStore() != nil },
 	}
+	tracker := &quarantine.Tracker{Self: self.ID, Policy: g.policy, Metrics: g.Metrics, Log: g.Log.Named("quarantine")}
+	g.crashes = quarantine.NewSharer(tracker, g.store, g.Log.Named("quarantine"))
 	sender := &forward.Sender{
 		Network: g.Network, Policy: g.policy, Metrics: g.Metrics,
 		BufferBytes: int64(bufferShare * float64(g.PlatformSettings.MemoryBytes)),
@@ -129,7 +136,7 @@
 	}
 	g.dispatcher = &dispatch.Dispatcher{
 		Placer: g.fleet, Directory: g.directory, Policy: g.policy, Network: g.Network,
-		Metrics: g.Metrics, Log: g.Log.Named("dispatch"), Sender: sender, CountRefused: true,
+		Metrics: g.Metrics, Log: g.Log.Named("dispatch"), Sender: sender, CountRefused: true, Crashes: tracker,
 	}
 	g.handler = &handler{
 		routes: g.routes, directory: g.directory, dispatcher: g.dispatcher,
@@ -182,5 +189,5 @@
 
 // newWatcher returns a watcher that passes the objects of a kind to handler.
 func (g *Gateway) newWatcher(kind hbs.ObjectKind, handler objectHandler) *watcher {
-	return &watcher{platform: g.store, kind: kind, handler: handler, log: g.Log.Named("store")}
+	return &watcher{platform: g.store, kind: kind, handler: handler, log: g.Log.Named("store"), wait: max(watchWait, longWaits[kind])}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -30,6 +30,7 @@
 	"github.com/hornbeamstage/hornbeamstage/placement"
 	"github.com/hornbeamstage/hornbeamstage/platform"
 	"github.com/hornbeamstage/hornbeamstage/presence"
+	"github.com/hornbeamstage/hornbeamstage/quarantine"
 	"github.com/hornbeamstage/hornbeamstage/roster"
 )
 
@@ -74,6 +75,7 @@
 	routes     *routeState
 	versions   *weightsVersions
 	presence   *presence.Counter
+	crashes    *quarantine.Sharer
 	dispatcher *dispatch.Dispatcher
 	fleet      *placement.Placer
 	lease      *lease.Holder
@@ -157,6 +159,8 @@
 		g.newWatcher(platform.KindConfig, g.configHandler()).Run,
 		g.newWatcher(platform.KindEndpoints, &endpointHandler{g}).Run,
 		g.newWatcher(platform.KindDesiredWeights, g.versionHandler()).Run,
+		g.newWatcher(quarantine.Kind, &crashHandler{g.crashes}).Run,
+		g.crashes.Run,
 		g.lease.Run,
 		g.presence.Run,
 		g.controller.Run,
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -104,9 +104,11 @@
 	// by mu.
 	mu           sync.Mutex
 	suspendedFor time.Duration
-	client       *http.Client
-	ctx          context.Context
-	wg           conc.WaitGroup
+	// deadlySent numbers the requests of sendMixed.
+	deadlySent int
+	client     *http.Client
+	ctx        context.Context
+	wg         conc.WaitGroup
 }
 
 // withFleet runs f with a new fleet that is ready to serve.
--- a/gateway/objecthandlers.go
+++ b/gateway/objecthandlers.go
@@ -7,6 +7,7 @@
 
 	hbs "github.com/hornbeamstage/hornbeamstage"
 	"github.com/hornbeamstage/hornbeamstage/platform"
+	"github.com/hornbeamstage/hornbeamstage/quarantine"
 )
 
 // upsertHandler is an objectHandler for objects that are replaced but never
@@ -158,3 +159,24 @@
 		g.Log.Info("weights named", zap.String("model", string(n.Model)), zap.Int64("version", n.Version), zap.Uint64("revision", uint64(obj.Revision)))
 	}
 }
+
+// crashHandler passes the instances' reports of crashes on.
+type crashHandler struct{ sharer *quarantine.Sharer }
+
+func (h *crashHandler) replace(objs []hbs.Object) {
+	for i := range objs {
+		h.sharer.Tracker.Merge(&objs[i], false)
+	}
+}
+
+func (h *crashHandler) apply(ev hbs.WatchEvent) {
+	if ev.Deleted {
+		h.sharer.Tracker.Removed(ev.Object.Name)
+		return
+	}
+	h.sharer.Tracker.Merge(&ev.Object, true)
+}
+
+func (h *crashHandler) synced(time.Time) { h.sharer.Read() }
+
+func (h *crashHandler) reconnected() {}
--- a/gateway/store_test.go
+++ b/gateway/store_test.go
@@ -12,7 +12,8 @@
 	"github.com/hornbeamstage/hornbeamstage/standin/pool"
 )
 
-// watchedKinds is the number of object kinds that an instance watches.
+// watchedKinds is the number of object kinds of which an instance has to know that it
+// has the newest; it misses the store soon.
 const watchedKinds = 3
 
 // logCount returns the number of log lines with the message.
--- a/gateway/watcher.go
+++ b/gateway/watcher.go
@@ -30,9 +30,9 @@
 	// minBackoff and maxBackoff bound the delays after failed calls.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 700 * time.Millisecond
-	// unreachableAfter is the time without a response after which the store
-	// counts as unreachable.
-	unreachableAfter = watchWait + 1500*time.Millisecond
+	// unreachableMargin is added to the wait of a watch: after so long without a
+	// response the store counts as unreachable.
+	unreachableMargin = 1500 * time.Millisecond
 	// eventBacklog is how many events may be queued for the handler.
 	eventBacklog = 64
 )
@@ -43,9 +43,11 @@
 	kind     hbs.ObjectKind
 	handler  objectHandler
 	log      *zap.Logger
+	// wait is how long the store holds a watch request that has no events.
+	wait time.Duration
 
 	// lastResponse is when the store last responded. unreachable is set when a
-	// call fails at least unreachableAfter later.
+	// call fails at least wait and unreachableMargin later.
 	lastResponse time.Time
 	unreachable  bool
 }
@@ -120,7 +122,7 @@
 // recordResponse records a response of the store, and logs and reports the end of
 // an outage.
 func (w *watcher) recordResponse() {
-	if w.unreachable || time.Since(w.lastResponse) > unreachableAfter {
+	if w.unreachable || time.Since(w.lastResponse) > w.wait+unreachableMargin {
 		w.log.Info("store regained", zap.String("kind", string(w.kind)), zap.Duration("away", time.Since(w.lastResponse)))
 		w.handler.reconnected()
 	}
@@ -130,7 +132,7 @@
 // recordFailure logs the start of an outage if the last response is too old.
 func (w *watcher) recordFailure(err error) {
 	sinceResponse := time.Since(w.lastResponse)
-	if w.unreachable || sinceResponse < unreachableAfter {
+	if w.unreachable || sinceResponse < w.wait+unreachableMargin {
 		return
 	}
 	w.unreachable = true
