quarantine: an engine crashes again before its record tells another start

What callers saw: with the store away, each engine that was back under the same record counted as one crash, however often it crashed, and its deadly part was not blamed in time.

Cause: crashes were told apart by the incarnation in the engine's record alone. The record is old while the store is away, and for some time after each start.

Change: a crash of the same incarnation is another one if the attempt's connection was made after the last crash.

--- a/crash.go
+++ b/crash.go
@@ -1,5 +1,7 @@
 package hornbeamstage
 
+import "time"
+
 // CrashWatch keeps requests from engines that they would crash. Its methods are safe
 // for concurrent use and do not block.
 type CrashWatch interface {
@@ -9,9 +11,10 @@
 	// follows when the attempt has ended, and after Crashed or Answered.
 	Begin(req *Request) *Refusal
 	End(req *Request)
-	// Crashed records that the engine e crashed before an attempt of req had written
-	// two events. It reports whether the request may be sent to another engine.
-	Crashed(req *Request, e *Endpoint) (again bool)
+	// Crashed records that the engine e crashed before an attempt of req, which had
+	// reached it at connected, had written two events. It reports whether the request
+	// may be sent to another engine.
+	Crashed(req *Request, e *Endpoint, connected time.Time) (again bool)
 	// Answered records that an engine wrote an answer to req.
 	Answered(req *Request)
 }
--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -38,7 +38,7 @@
 	if r := w.Crashes.Begin(w.req); r != nil {
 		return r
 	}
-	w.begun = true
+	w.connected = time.Now()
 	if g.next == nil {
 		return nil
 	}
@@ -51,8 +51,9 @@
 	call *attempt.Call
 	// proven is set once events have arrived twice.
 	proven atomic.Bool
-	// begun is set when the attempt is about to send.
-	begun bool
+	// connected is when the attempt had a connection and was about to send; zero if it
+	// never was.
+	connected time.Time
 }
 
 // watchCrash returns a watch of an attempt that has not started, or nil if there is
@@ -76,7 +77,7 @@
 // conclude reports what the ended attempt proves, and records in its result whether
 // its engine crashed.
 func (w *crashWatch) conclude(ctx context.Context, res *attempt.Result) {
-	if !w.begun {
+	if w.connected.IsZero() {
 		return
 	}
 	defer w.Crashes.End(w.req)
@@ -95,7 +96,7 @@
 	e := &w.call.Placement.Endpoint
 	if w.probes.refused(ctx, w.Network, e) {
 		res.Crashed = true
-		res.NoRetry = !w.Crashes.Crashed(w.req, e)
+		res.NoRetry = !w.Crashes.Crashed(w.req, e, w.connected)
 	}
 }
 
--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -130,8 +130,8 @@
 	return n
 }
 
-func (f *fleet) poisonEngines() {
-	f.fail(f.engines, pool.Faults{DeadlyPart: deadlyPart, DownTime: engineDownTime})
+func (f *fleet) poisonEngines(down time.Duration) {
+	f.fail(f.engines, pool.Faults{DeadlyPart: deadlyPart, DownTime: down})
 }
 
 // quarantines returns the parts that were quarantined at any instance.
@@ -148,7 +148,7 @@
 	It("is kept from engines at all instances, and sound requests that share the first part and the key are served", func() {
 		withFleet(func(f *fleet) {
 			before := f.sendMixed(5*time.Second, time.Hour, 0)
-			f.poisonEngines()
+			f.poisonEngines(engineDownTime)
 			start := time.Now()
 			during := f.sendMixed(20*time.Second, 300*time.Millisecond, 0, 1)
 			f.Expect(f.lateDeadlyRuns()).To(BeNumerically("<=", maxLateRequests), "of %d, with %d crashes", len(f.deadlyRuns()), len(f.crashes()))
@@ -164,8 +164,10 @@
 	It("is kept from engines while the store is away", func() {
 		withFleet(func(f *fleet) {
 			f.store.Outage(time.Minute)
-			f.poisonEngines()
-			f.sendMixed(4*time.Second, 300*time.Millisecond, 0, 1)
+			// Keys are good for revokeTime of the outage, so all has to happen soon.
+			f.poisonEngines(engineDownTime / 10)
+			f.sendMixed(revokeTime, 100*time.Millisecond, 0, 1)
+			f.Expect(len(f.crashes())).To(BeNumerically(">", 0))
 			f.Expect(f.lateDeadlyRuns()).To(BeNumerically("<=", maxLateRequests), "of %d, with %d crashes", len(f.deadlyRuns()), len(f.crashes()))
 		})
 	})
@@ -174,7 +176,7 @@
 	// what others saw, and one that learns nothing when it starts.
 	It("is kept from engines by an instance that saw no crash, also one started later", func() {
 		withFleet(func(f *fleet) {
-			f.poisonEngines()
+			f.poisonEngines(engineDownTime)
 			f.sendMixed(15*time.Second, 500*time.Millisecond, 0)
 			runs := len(f.deadlyRuns())
 			f.Expect(runs).To(BeNumerically(">", 0))
--- a/quarantine/part.go
+++ b/quarantine/part.go
@@ -13,10 +13,12 @@
 	id    hbs.PartID
 }
 
-// crashID identifies the crash of one incarnation of an engine.
+// crashID identifies the crash of one incarnation of an engine. again counts the
+// crashes since the engine's record last told another incarnation.
 type crashID struct {
 	endpoint    hbs.EndpointID
 	incarnation hbs.Incarnation
+	again       int
 }
 
 // crash is a crash that counts against a part.
@@ -225,6 +227,23 @@
 	return i
 }
 
+// crashOf returns the crash that ended a connection of this instance. An engine to
+// which it was made after the last crash has started again since.
+func (t *Tracker) crashOf(e *hbs.Endpoint, connected time.Time) crashID {
+	id := crashID{endpoint: e.ID, incarnation: e.Incarnation}
+	for _, m := range slices.Backward(t.moments) {
+		if m.id.endpoint != id.endpoint || m.id.incarnation != id.incarnation {
+			continue
+		}
+		id = m.id
+		if connected.After(m.at) {
+			id.again++
+		}
+		return id
+	}
+	return id
+}
+
 // addMoment records the time of a crash, unless it is known.
 func (t *Tracker) addMoment(id crashID, at, now time.Time) {
 	old := 0
--- a/quarantine/play_test.go
+++ b/quarantine/play_test.go
@@ -153,7 +153,7 @@
 // end crashes an engine.
 func (f *fleet) end(e int, now time.Time) {
 	for _, s := range f.work[e] {
-		s.by.Crashed(s.req, engine(e, f.lives[e]))
+		s.by.Crashed(s.req, engine(e, f.lives[e]), s.at)
 		s.by.End(s.req)
 	}
 	f.work[e], f.up[e] = nil, now.Add(downTime)
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -9,7 +9,8 @@
 //  1. A crash counts against the parts of a request if the engine crashed before the
 //     attempt had written two events to the caller. Whoever reports it has made sure
 //     that the engine itself ended: a broken connection alone is no crash.
-//  2. Crashes are told apart by the engine's incarnation. Crashes of several engines
+//  2. Crashes are told apart by the engine's incarnation, and by connections that were
+//     made to it after a crash, since its record may be old. Crashes of several engines
 //     within sameMoment have a common cause. They count once against a part, and only
 //     if it was at a third of these engines or more: a loss of power is no fault of
 //     what happened to run at one of them.
@@ -195,11 +196,11 @@
 }
 
 // Crashed implements hornbeamstage.CrashWatch.
-func (t *Tracker) Crashed(req *hbs.Request, e *hbs.Endpoint) (again bool) {
+func (t *Tracker) Crashed(req *hbs.Request, e *hbs.Endpoint, connected time.Time) (again bool) {
 	now := time.Now()
-	id := crashID{e.ID, e.Incarnation}
 	names := make([]string, len(req.Parts))
 	t.mu.Lock()
+	id := t.crashOf(e, connected)
 	t.add(req.Model, balance{crashed: 1}, now)
 	t.addMoment(id, now, now)
 	for i, name := range req.Parts {
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -62,7 +62,7 @@
 // with the parts, each followed by answers to others that share the first part.
 func crash(t *quarantine.Tracker, n int, parts ...hbs.PartID) {
 	for i := range n {
-		t.Crashed(request(parts...), engine(i, 1))
+		t.Crashed(request(parts...), engine(i, 1), time.Time{})
 		answer(t, 5, parts[0], "other")
 		time.Sleep(moment)
 	}
@@ -104,27 +104,44 @@
 		inBubble(func(g *WithT) {
 			t := newTracker("i")
 			for range 5 {
-				t.Crashed(request("bad"), engine(1, 1))
+				t.Crashed(request("bad"), engine(1, 1), time.Time{})
 				answer(t, 5, "other")
 				time.Sleep(moment)
 			}
 			g.Expect(t.Check(request("bad"))).To(BeNil())
-			t.Crashed(request("bad"), engine(1, 2))
+			t.Crashed(request("bad"), engine(1, 2), time.Time{})
 			time.Sleep(moment)
-			t.Crashed(request("bad"), engine(1, 3))
+			t.Crashed(request("bad"), engine(1, 3), time.Time{})
 			time.Sleep(moment)
 			g.Expect(t.Check(request("bad"))).NotTo(BeNil())
 		})
 	})
 
+	// Guards against an engine that crashes again and again before its record tells that
+	// it was started again.
+	It("counts a crash of the same incarnation again if a connection was made in between (rule 2)", func() {
+		inBubble(func(g *WithT) {
+			t := newTracker("i")
+			for range 3 {
+				connected := time.Now()
+				time.Sleep(moment)
+				t.Crashed(request("bad"), engine(1, 1), connected)
+				t.Crashed(request("bad"), engine(1, 1), connected)
+				answer(t, 5, "other")
+				time.Sleep(moment)
+			}
+			g.Expect(t.Check(request("bad"))).NotTo(BeNil())
+		})
+	})
+
 	// Guards against requests that crash one engine after the other by their repeats.
 	It("is not sent again with a request under which an engine crashed, if all of its parts have a further crash (rule 6)", func() {
 		inBubble(func(g *WithT) {
 			t := newTracker("i")
-			g.Expect(t.Crashed(request("shared", "bad"), engine(1, 1))).To(BeTrue())
-			g.Expect(t.Crashed(request("shared", "bad"), engine(1, 1))).To(BeTrue(), "the same crash")
-			g.Expect(t.Crashed(request("shared", "good"), engine(2, 1))).To(BeTrue())
-			g.Expect(t.Crashed(request("shared", "bad"), engine(2, 1))).To(BeFalse())
+			g.Expect(t.Crashed(request("shared", "bad"), engine(1, 1), time.Time{})).To(BeTrue())
+			g.Expect(t.Crashed(request("shared", "bad"), engine(1, 1), time.Time{})).To(BeTrue(), "the same crash")
+			g.Expect(t.Crashed(request("shared", "good"), engine(2, 1), time.Time{})).To(BeTrue())
+			g.Expect(t.Crashed(request("shared", "bad"), engine(2, 1), time.Time{})).To(BeFalse())
 		})
 	})
 
@@ -164,7 +181,7 @@
 		inBubble(func(g *WithT) {
 			t := newTracker("i")
 			for n := range 6 {
-				t.Crashed(request("shared", "part"), engine(n, 1))
+				t.Crashed(request("shared", "part"), engine(n, 1), time.Time{})
 				answer(t, 5, "shared", "other")
 				time.Sleep(3 * time.Minute)
 			}
@@ -177,7 +194,7 @@
 		inBubble(func(g *WithT) {
 			t := newTracker("i")
 			for n := range 20 {
-				t.Crashed(request("shared", "part"), engine(n, 1))
+				t.Crashed(request("shared", "part"), engine(n, 1), time.Time{})
 				time.Sleep(10 * time.Millisecond)
 			}
 			time.Sleep(moment)
@@ -193,9 +210,9 @@
 			t := newTracker("i")
 			for n := range 4 {
 				if n > 0 {
-					t.Crashed(request("shared", "beside"), engine(n, 1))
+					t.Crashed(request("shared", "beside"), engine(n, 1), time.Time{})
 				}
-				t.Crashed(request("shared", "bad"), engine(n, 1))
+				t.Crashed(request("shared", "bad"), engine(n, 1), time.Time{})
 				answer(t, 5, "shared", "other")
 				time.Sleep(300 * time.Millisecond)
 			}
@@ -211,9 +228,9 @@
 			here, there := newTracker("i"), newTracker("j")
 			for n := range 4 {
 				if n > 0 {
-					here.Crashed(request("shared", "beside"), engine(n, 1))
+					here.Crashed(request("shared", "beside"), engine(n, 1), time.Time{})
 				}
-				there.Crashed(request("shared", "bad"), engine(n, 1))
+				there.Crashed(request("shared", "bad"), engine(n, 1), time.Time{})
 				answer(here, 5, "shared", "other")
 				time.Sleep(300 * time.Millisecond)
 			}
@@ -234,8 +251,8 @@
 			t := newTracker("i")
 			for n := range 30 {
 				for range 4 {
-					t.Crashed(request("shared", "part"), engine(n, 1))
-					t.Crashed(request("shared", "other"), engine(n, 1))
+					t.Crashed(request("shared", "part"), engine(n, 1), time.Time{})
+					t.Crashed(request("shared", "other"), engine(n, 1), time.Time{})
 				}
 				time.Sleep(moment)
 			}
@@ -249,7 +266,7 @@
 		inBubble(func(g *WithT) {
 			t := newTracker("i")
 			for n := range 12 {
-				t.Crashed(request("shared", "part"), engine(n, 1))
+				t.Crashed(request("shared", "part"), engine(n, 1), time.Time{})
 				time.Sleep(moment)
 			}
 			answer(t, 11, "other")
@@ -266,9 +283,9 @@
 		inBubble(func(g *WithT) {
 			t := newTracker("i")
 			for n := range 3 {
-				t.Crashed(request("part"), engine(n, 1))
+				t.Crashed(request("part"), engine(n, 1), time.Time{})
 				for range 10 {
-					t.Crashed(request("other"), engine(n, 1))
+					t.Crashed(request("other"), engine(n, 1), time.Time{})
 				}
 				answer(t, 2, "third")
 				time.Sleep(moment)
@@ -285,7 +302,7 @@
 		inBubble(func(g *WithT) {
 			t := newTracker("i")
 			for n := range 4 {
-				t.Crashed(request("shared", "part"), engine(n, 1))
+				t.Crashed(request("shared", "part"), engine(n, 1), time.Time{})
 				time.Sleep(moment)
 			}
 			g.Expect(t.Begin(request("fresh"))).To(BeNil())
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -53,6 +53,8 @@
 	Part        hbs.PartID      `json:"part"`
 	Endpoint    hbs.EndpointID  `json:"endpoint,omitempty"`
 	Incarnation hbs.Incarnation `json:"incarnation,omitempty"`
+	// Again counts the earlier crashes of the same incarnation.
+	Again int `json:"again,omitempty"`
 	// AgeMS is how long ago it was when the report was written, in milliseconds.
 	AgeMS int64 `json:"age_ms"`
 	// UntilMS is the end of a quarantine in Unix milliseconds.
@@ -92,7 +94,7 @@
 		e := entry{Model: k.model, Part: k.id}
 		for id, c := range p.crashes {
 			if c.own && now.Sub(c.at) <= crashTTL {
-				e.Endpoint, e.Incarnation, e.AgeMS = id.endpoint, id.incarnation, now.Sub(c.at).Milliseconds()
+				e.Endpoint, e.Incarnation, e.Again, e.AgeMS = id.endpoint, id.incarnation, id.again, now.Sub(c.at).Milliseconds()
 				crashes = append(crashes, e)
 				p.told = true
 			}
@@ -246,7 +248,7 @@
 		m.t.ignore(m.obj, errors.New("crash names no endpoint"))
 		return
 	}
-	id := crashID{e.Endpoint, e.Incarnation}
+	id := crashID{e.Endpoint, e.Incarnation, e.Again}
 	m.t.addMoment(id, e.at(m.now), m.now)
 	m.t.addCrash(e.key(), id, crash{e.at(m.now), m.own}, m.now)
 }
--- a/quarantine/sharer_test.go
+++ b/quarantine/sharer_test.go
@@ -93,7 +93,7 @@
 
 // crashAt reports a crash at one instance, and answers to others at all of them.
 func (s *sharing) crashAt(i, n int) {
-	s.trackers[i].Crashed(request("shared", "bad"), engine(n, 1))
+	s.trackers[i].Crashed(request("shared", "bad"), engine(n, 1), time.Time{})
 	for _, t := range s.trackers {
 		answer(t, 5, "shared", "other")
 	}
@@ -171,7 +171,7 @@
 			time.Sleep(shareTime)
 			late := s.start("late")
 			time.Sleep(shareTime)
-			late.Crashed(request("shared", "bad"), engine(3, 1))
+			late.Crashed(request("shared", "bad"), engine(3, 1), time.Time{})
 			answer(late, 5, "shared", "other")
 			time.Sleep(shareTime)
 			s.Expect(late.Check(request("bad"))).NotTo(BeNil())
