quarantine: crashes that are explained stay so when they are told later

Cause: crashes that a quarantined part explains are dropped from the others when its quarantine begins. Reports of other instances that arrived later counted the same crashes against the sound part anew.

Change: a crash that a quarantined part explains is not counted against others, and a crash that is found to be explained later is dropped then.

Test: quarantine, "is not blamed for explained crashes that are told later"; fails without the change.

--- a/quarantine/judge.go
+++ b/quarantine/judge.go
@@ -129,10 +129,26 @@
 		zap.Strings("engines", engines), zap.Duration("first_crash", now.Sub(p.firstCrash(now))),
 		zap.Duration("for", d), zap.Int("offence", p.offences), zap.String("told_by", from))
 	p.from, p.until, p.told = now, now.Add(d), true
+	t.blamed = append(slices.DeleteFunc(t.blamed, func(b partKey) bool {
+		q := t.parts[b]
+		return b == k || q == nil || q.until.IsZero()
+	}), k)
 	t.suspect(k, p, now)
 	t.explainAway(k, p, now)
 }
 
+// explained reports whether a quarantined part explains a crash.
+func (t *Tracker) explained(model hbs.ModelName, id crashID) bool {
+	for _, k := range t.blamed {
+		if p := t.parts[k]; k.model == model && p != nil && !p.until.IsZero() {
+			if _, ok := p.crashes[id]; ok {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // explainAway drops the crashes that a quarantined part explains from the parts that
 // were at only some of them (rule 5).
 func (t *Tracker) explainAway(by partKey, explained *part, now time.Time) {
--- a/quarantine/part.go
+++ b/quarantine/part.go
@@ -164,6 +164,9 @@
 	} else {
 		p.told = true
 	}
+	if p.until.IsZero() && t.explained(k.model, id) {
+		return
+	}
 	p.expire(now)
 	old, known := p.crashes[id]
 	if known {
@@ -186,6 +189,9 @@
 		p.lastCrash = c.at
 	}
 	t.suspect(k, p, now)
+	if !p.until.IsZero() {
+		t.explainAway(k, p, now)
+	}
 }
 
 // distinctCrashes returns the number of crashes by rule 2.
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -101,6 +101,8 @@
 	parts map[partKey]*part
 	// suspects are the suspect parts.
 	suspects map[partKey]*part
+	// blamed are the quarantined parts, and some that were.
+	blamed []partKey
 	// balances has the attempts for each model.
 	balances map[hbs.ModelName]*history
 	// moments has the crashes of the last evidenceTTL, in order.
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -222,6 +222,30 @@
 		})
 	})
 
+	// Guards against a part that is blamed for crashes which others tell of when the
+	// deadly part is known already.
+	It("is not blamed for explained crashes that are told later (rules 5 and 9)", func() {
+		inBubble(func(g *WithT) {
+			here, there := newTracker("i"), newTracker("j")
+			for n := range 4 {
+				here.Crashed(request("shared", "bad"), engine(n, 1), time.Time{})
+				if n > 0 {
+					there.Crashed(request("shared", "beside"), engine(n, 1), time.Time{})
+				}
+				answer(here, 5, "shared", "other")
+				time.Sleep(300 * time.Millisecond)
+			}
+			time.Sleep(moment)
+			g.Expect(here.Check(request("bad"))).NotTo(BeNil())
+			value, _, err := there.Report()
+			g.Expect(err).NotTo(HaveOccurred())
+			here.Merge(&hbs.Object{Kind: quarantine.Kind, Name: "j", Revision: 1, Value: value}, true)
+			time.Sleep(moment)
+			answer(here, 50, "shared", "other")
+			g.Expect(here.Check(request("beside"))).To(BeNil())
+		})
+	})
+
 	// Guards against a verdict before the other instances' reports have arrived.
 	It("is not blamed before it is known what others saw (rules 5 and 9)", func() {
 		inBubble(func(g *WithT) {
