--- a/attempt/attempt.go
+++ b/attempt/attempt.go
@@ -115,6 +115,9 @@
 	// Consecutive is set with LastEvent if the IDs of the events were consecutive, so
 	// that a stream which leaves out the next one is recognized.
 	Consecutive bool
+	// Crashed is set if the endpoint crashed under the attempt, and NoRetry if
+	// therefore the request must not be sent again. The Runner knows neither.
+	Crashed, NoRetry bool
 	// EventStream is set if the response is a stream of server-sent events.
 	EventStream bool
 }
