notification: one type for a signal of changes

Cause: nine places had a channel that is closed and replaced at each change, with lines of their own for it. Some made it at first use, some at the start or at each change; three ran their initialization in Changed for nothing else.

Change: notification.Signal serves all of them: the configuration, the directory of membership and its observations, the roster's directory, the mirrored set, the route table, and the stand-ins of the object API (both) and of the engine. It has no lock of its own: each owner has one that guards the state, and the stand-ins take the channel together with the state, so what a waiter sees is as it was. A channel is made only when somebody asks for it. Behaviour is as it was.

Left as they are: channels of capacity 1 that wake one goroutine (admission, limit, permit, quarantine, the engine's stand-in, memnet), since a signal sent before the wait must count there; channels that are closed once (network's inflight, stops, ended attempts); memnet's holds and partitions, where the channel is the state; and the directories of tests.

Measured: the new specs fail if a Send doesn't close, closes twice, or if each call of Next makes a channel of its own. Specs of all packages that import the changed ones pass, those of notification, mirror, config, membership, roster and the stand-ins under the race detector too.

--- a/config/store.go
+++ b/config/store.go
@@ -14,6 +14,7 @@
 
 	hbs "github.com/hornbeamstage/hornbeamstage"
 	"github.com/hornbeamstage/hornbeamstage/mirror"
+	"github.com/hornbeamstage/hornbeamstage/notification"
 )
 
 // Store holds the current configuration of this instance and implements
@@ -41,7 +42,7 @@
 	records  *mirror.RecordCache[*Config]
 	rejected int
 	current  atomic.Pointer[snapshot]
-	changed  chan struct{}
+	changed  notification.Signal
 }
 
 // snapshot is an immutable configuration with its lookup tables.
@@ -110,10 +111,7 @@
 func (s *Store) Changed() <-chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.changed == nil {
-		s.changed = make(chan struct{})
-	}
-	return s.changed
+	return s.changed.Next()
 }
 
 // Number implements hornbeamstage.Policy.
@@ -154,10 +152,7 @@
 	snap := s.build(s.Objects.Revision(hbs.ObjectConfiguration))
 	snap.version = version
 	s.current.Store(snap)
-	if s.changed != nil {
-		close(s.changed)
-	}
-	s.changed = make(chan struct{})
+	s.changed.Send()
 }
 
 func (s *Store) build(revision hbs.Revision) *snapshot {
--- a/gateway/routestate.go
+++ b/gateway/routestate.go
@@ -6,6 +6,7 @@
 	"time"
 
 	hbs "github.com/hornbeamstage/hornbeamstage"
+	"github.com/hornbeamstage/hornbeamstage/notification"
 	"github.com/hornbeamstage/hornbeamstage/route"
 )
 
@@ -22,8 +23,8 @@
 	// total suspended time then.
 	asOf      time.Time
 	suspended time.Duration
-	// changed is closed when table is replaced; nil while nobody waits for that.
-	changed chan struct{}
+	// changed is sent when table is replaced.
+	changed notification.Signal
 }
 
 // adopt replaces the table by t if t is newer (rule 1 of package route), and
@@ -35,10 +36,7 @@
 		return false
 	}
 	s.table = t
-	if s.changed != nil {
-		close(s.changed)
-		s.changed = nil
-	}
+	s.changed.Send()
 	return true
 }
 
@@ -46,10 +44,7 @@
 func (s *routeState) tableChanged() <-chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.changed == nil {
-		s.changed = make(chan struct{})
-	}
-	return s.changed
+	return s.changed.Next()
 }
 
 // confirm records that the table was the newest at asOf.
--- a/membership/directory.go
+++ b/membership/directory.go
@@ -43,6 +43,7 @@
 	hbs "github.com/hornbeamstage/hornbeamstage"
 	"github.com/hornbeamstage/hornbeamstage/config"
 	"github.com/hornbeamstage/hornbeamstage/mirror"
+	"github.com/hornbeamstage/hornbeamstage/notification"
 )
 
 // Directory implements hornbeamstage.Directory.
@@ -85,7 +86,7 @@
 
 	mu        sync.Mutex
 	roster    atomic.Pointer[hbs.Roster]
-	changed   chan struct{}
+	changed   notification.Signal
 	builtFrom sourceVersions
 }
 
@@ -103,7 +104,6 @@
 		d.listedInstances = &mirror.RecordCache[hbs.Instance]{Set: d.Objects, Kind: hbs.ObjectInstance, Decode: mirror.DecodeInstance}
 		d.spares = &mirror.RecordCache[mirror.OtherRegions]{Set: d.Objects, Kind: mirror.SparesKind(d.Objects.Region), Decode: mirror.DecodeSpares}
 		d.probeRequests = make(chan hbs.EndpointID, probeBacklog)
-		d.changed = make(chan struct{})
 		d.roster.Store(&hbs.Roster{Instances: []hbs.Instance{d.Record}})
 	})
 }
@@ -125,10 +125,9 @@
 
 // Changed implements hornbeamstage.Directory.
 func (d *Directory) Changed() <-chan struct{} {
-	d.init()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.changed
+	return d.changed.Next()
 }
 
 // Run updates the roster and registers this instance until ctx ends.
@@ -192,8 +191,7 @@
 		return
 	}
 	d.roster.Store(next)
-	close(d.changed)
-	d.changed = make(chan struct{})
+	d.changed.Send()
 	d.setGauge(meterEndpoints, len(next.Endpoints))
 	d.setGauge(meterSuspects, countInState(next.Endpoints, hbs.StateSuspect))
 	d.setGauge(meterInstances, len(next.Instances))
--- a/membership/observations.go
+++ b/membership/observations.go
@@ -6,6 +6,7 @@
 
 	hbs "github.com/hornbeamstage/hornbeamstage"
 	"github.com/hornbeamstage/hornbeamstage/mirror"
+	"github.com/hornbeamstage/hornbeamstage/notification"
 )
 
 // maxReplaced is how many replaced incarnations of an endpoint are remembered.
@@ -17,7 +18,7 @@
 	mu      sync.Mutex
 	byID    map[hbs.EndpointID]*observation
 	version uint64
-	changed chan struct{}
+	changed notification.Signal
 }
 
 // observation is what attempts and probes showed about one endpoint.
@@ -33,14 +34,14 @@
 }
 
 func newObservations() *observations {
-	return &observations{byID: map[hbs.EndpointID]*observation{}, changed: make(chan struct{})}
+	return &observations{byID: map[hbs.EndpointID]*observation{}}
 }
 
 // Changed returns a channel that is closed on the next change.
 func (o *observations) Changed() <-chan struct{} {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.changed
+	return o.changed.Next()
 }
 
 // Version returns the number of changes so far.
@@ -181,6 +182,5 @@
 // notify signals a change. The caller holds mu.
 func (o *observations) notify() {
 	o.version++
-	close(o.changed)
-	o.changed = make(chan struct{})
+	o.changed.Send()
 }
--- a/mirror/set.go
+++ b/mirror/set.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	hbs "github.com/hornbeamstage/hornbeamstage"
+	"github.com/hornbeamstage/hornbeamstage/notification"
 )
 
 // tombstoneTTL must exceed the longest partition between regions (rule 3).
@@ -41,7 +42,7 @@
 	versions map[hbs.ObjectKind]uint64
 	// lastCollection is when old tombstones were last dropped.
 	lastCollection time.Time
-	changed        chan struct{}
+	changed        notification.Signal
 }
 
 type objectKey struct {
@@ -90,7 +91,7 @@
 		}
 	}
 	if len(adopted) > 0 {
-		s.notify()
+		s.changed.Send()
 	}
 	return adopted
 }
@@ -203,8 +204,7 @@
 func (s *Set) Changed() <-chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.init()
-	return s.changed
+	return s.changed.Next()
 }
 
 // filter returns the updates of kind that include accepts, sorted by name.
@@ -244,15 +244,9 @@
 			s.summaries = append(s.summaries, Summary{Kind: kind})
 		}
 		s.versions = map[hbs.ObjectKind]uint64{}
-		s.changed = make(chan struct{})
 	}
 }
 
-func (s *Set) notify() {
-	close(s.changed)
-	s.changed = make(chan struct{})
-}
-
 // hash identifies an update by its name and revision.
 func hash(u *Update) uint64 {
 	b := binary.BigEndian.AppendUint64([]byte(u.Name+"\x00"), uint64(u.Revision))
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -33,6 +33,7 @@
 	"go.uber.org/zap"
 
 	hbs "github.com/hornbeamstage/hornbeamstage"
+	"github.com/hornbeamstage/hornbeamstage/notification"
 )
 
 // Directory implements hornbeamstage.Directory. Its fields must be set before use.
@@ -71,7 +72,7 @@
 	// recoveredAt is when the platform last became reachable after an outage.
 	recoveredAt time.Time
 	roster      *hbs.Roster
-	changed     chan struct{}
+	changed     notification.Signal
 }
 
 // pendingChange is an announced change of an engine's weights.
@@ -87,7 +88,6 @@
 		d.records = map[hbs.EndpointID]hbs.Endpoint{}
 		d.missing = map[hbs.EndpointID]time.Time{}
 		d.changes = map[hbs.EndpointID]pendingChange{}
-		d.changed = make(chan struct{})
 		d.roster = &hbs.Roster{Instances: []hbs.Instance{d.Self}}
 	})
 }
@@ -102,10 +102,9 @@
 
 // Changed implements hornbeamstage.Directory.
 func (d *Directory) Changed() <-chan struct{} {
-	d.init()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.changed
+	return d.changed.Next()
 }
 
 // Endpoint returns the most recent record of an endpoint.
@@ -272,8 +271,7 @@
 		r.Endpoints[i].Rollout = d.rollouts[r.Endpoints[i].ID]
 	}
 	d.roster = r
-	close(d.changed)
-	d.changed = make(chan struct{})
+	d.changed.Send()
 }
 
 // findRollouts returns the marks of rule 7.
--- a/standin/engine/batch.go
+++ b/standin/engine/batch.go
@@ -129,6 +129,6 @@
 			j.finish(EndComplete)
 			continue
 		}
-		j.notify()
+		j.changed.Send()
 	}
 }
--- a/standin/engine/run.go
+++ b/standin/engine/run.go
@@ -4,6 +4,7 @@
 	"time"
 
 	hbs "github.com/hornbeamstage/hornbeamstage"
+	"github.com/hornbeamstage/hornbeamstage/notification"
 )
 
 // End is the way in which a run ended.
@@ -34,8 +35,7 @@
 	End          End
 }
 
-// job is a run in progress. Its fields are guarded by the engine's mutex; the
-// channel in changed may be waited on without it.
+// job is a run in progress. Its fields are guarded by the engine's mutex.
 type job struct {
 	run      *Run
 	priority int
@@ -61,8 +61,8 @@
 	// long the job continues without any.
 	readers      int
 	resumeWindow time.Duration
-	// changed is closed and replaced when emitted or ended changes.
-	changed chan struct{}
+	// changed is sent when emitted or ended changes.
+	changed notification.Signal
 }
 
 // finish ends the job. Further calls have no effect.
@@ -74,12 +74,7 @@
 	j.run.End = end
 	j.run.Ended = time.Now()
 	j.run.OutputTokens = j.emitted
-	j.notify()
-}
-
-func (j *job) notify() {
-	close(j.changed)
-	j.changed = make(chan struct{})
+	j.changed.Send()
 }
 
 // precedes reports whether j is scheduled before k.
--- a/standin/engine/serve.go
+++ b/standin/engine/serve.go
@@ -169,7 +169,6 @@
 		output:       max(1, c.MaxTokens),
 		promptLeft:   -1,
 		resumeWindow: window,
-		changed:      make(chan struct{}),
 	}
 	j.blocks = Blocks(j.salt, text)
 	if e.Capabilities.Priority {
--- a/standin/engine/stream.go
+++ b/standin/engine/stream.go
@@ -96,7 +96,7 @@
 func (e *Engine) progress(j *job) (emitted int, ended bool, end End, changed <-chan struct{}) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return j.emitted, j.ended, j.run.End, j.changed
+	return j.emitted, j.ended, j.run.End, j.changed.Next()
 }
 
 // writeWhole waits for the end of j and writes its output as one JSON object.
--- a/standin/objects/objects.go
+++ b/standin/objects/objects.go
@@ -8,6 +8,7 @@
 	"time"
 
 	hbs "github.com/hornbeamstage/hornbeamstage"
+	"github.com/hornbeamstage/hornbeamstage/notification"
 )
 
 // Fault is the fault injected into one call.
@@ -63,7 +64,7 @@
 	revision hbs.Revision
 	objects  map[hbs.ObjectKind]map[string]hbs.Object
 	log      []hbs.WatchEvent
-	changed  chan struct{}
+	changed  notification.Signal
 	// oldest is the first revision at which a paged list can still continue. If
 	// renewTokens is set, the refusal of an older token carries one that continues in
 	// the newest state.
@@ -125,10 +126,7 @@
 
 func (s *Store) publish(event hbs.WatchEvent) {
 	s.log = append(s.log, event)
-	if s.changed != nil {
-		close(s.changed)
-		s.changed = nil
-	}
+	s.changed.Send()
 }
 
 // since returns the events of kind after rev, and a channel that is closed at the
@@ -142,8 +140,5 @@
 			events = append(events, e)
 		}
 	}
-	if s.changed == nil {
-		s.changed = make(chan struct{})
-	}
-	return events, s.changed
+	return events, s.changed.Next()
 }
--- a/standin/platform/objects.go
+++ b/standin/platform/objects.go
@@ -166,7 +166,7 @@
 	for {
 		p.mu.Lock()
 		found, upTo, ok := p.since(kind, rev)
-		changed, outage := p.changed, p.faults.active().outage
+		changed, outage := p.changed.Next(), p.faults.active().outage
 		p.mu.Unlock()
 		if outage {
 			panic(http.ErrAbortHandler)
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -18,6 +18,7 @@
 	"golang.org/x/time/rate"
 
 	hbs "github.com/hornbeamstage/hornbeamstage"
+	"github.com/hornbeamstage/hornbeamstage/notification"
 )
 
 // Limits and delays of the platform.
@@ -54,7 +55,7 @@
 	// oldest is the newest revision that was removed from changes, and so the oldest
 	// one that a watch can start after.
 	oldest  uint64
-	changed chan struct{}
+	changed notification.Signal
 	writes  *rate.Limiter
 	reads   *rate.Limiter
 	calls   map[CallKind]int
@@ -129,7 +130,6 @@
 	p.once.Do(func() {
 		p.rng = rand.New(rand.NewPCG(p.Seed, 2))
 		p.objects = map[objectKey]Object{}
-		p.changed = make(chan struct{})
 		p.calls = map[CallKind]int{}
 		p.writes = rate.NewLimiter(writesPerSecond, writesPerSecond)
 		p.reads = rate.NewLimiter(readsPerSecond, readsPerSecond)
--- a/standin/platform/serve.go
+++ b/standin/platform/serve.go
@@ -210,7 +210,7 @@
 	for ctx.Err() == nil {
 		p.mu.Lock()
 		found, upTo, ok := p.since(kind, rev)
-		changed, f := p.changed, p.faults.active()
+		changed, f := p.changed.Next(), p.faults.active()
 		p.mu.Unlock()
 		if !ok || f.outage {
 			return
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -61,8 +61,7 @@
 		p.oldest = p.changes[0].rev
 		p.changes = slices.Delete(p.changes, 0, 1)
 	}
-	close(p.changed)
-	p.changed = make(chan struct{})
+	p.changed.Send()
 }
 
 // visibleUntil returns the time of the newest change that readers of kind can see.
