gateway: an age from an unset time is the longest one, also after a suspension

On a machine that had been suspended before its instance started, that instance used engines with weights that should have been replaced for as long as they were there, and could take a route table that was never confirmed for a fresh one, with keys that were revoked.

Cause: the time since the zero time saturates at the longest duration there is. The time suspended, added to it since "time suspended counts towards the time in which weights are replaced", made it overflow to a negative age. The route table had the same sum.

Change: an unset time is checked first.

--- a/gateway/routestate.go
+++ b/gateway/routestate.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"net/netip"
 	"sync"
 	"time"
@@ -63,11 +64,14 @@
 }
 
 // age returns the time since the table was last known to be the newest,
-// including time suspended.
+// including time suspended; the longest time there is if it never was.
 func (s *routeState) age() time.Duration {
 	total := s.Suspended()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.asOf.IsZero() {
+		return math.MaxInt64
+	}
 	return time.Since(s.asOf) + total - s.suspended
 }
 
--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -76,6 +77,9 @@
 
 // elapsed returns the time since m, including time suspended.
 func (v *weightsVersions) elapsed(m moment) time.Duration {
+	if m == (moment{}) {
+		return math.MaxInt64
+	}
 	return time.Since(m.at) + v.Suspended() - m.suspended
 }
 
--- a/gateway/versions_test.go
+++ b/gateway/versions_test.go
@@ -30,3 +30,23 @@
 		g.Expect(time.Since(published) + limit).To(BeNumerically("<", v.Converge))
 	})
 }
+
+// Guards against work on replaced weights (VERSION): the age of versions found at the
+// start was negative on machines that had been suspended before.
+func TestVersionsFoundAtTheStartAreOldOnMachinesThatWereSuspended(t *testing.T) {
+	for _, suspended := range []time.Duration{0, 1, time.Hour} {
+		v := &weightsVersions{Converge: 15 * time.Second, Suspended: func() time.Duration { return suspended }}
+		v.add(platform.DesiredWeights{Model: "m", Version: 2}, moment{})
+		g := NewWithT(t)
+		g.Expect(v.tooOld(&hbs.Endpoint{Kind: hbs.KindEngine, Model: "m", Weights: "1"})).To(BeTrue())
+	}
+}
+
+// Guards against revoked keys in use: the age of a table that was never known to be
+// the newest was negative on machines that had been suspended before.
+func TestATableThatWasNeverConfirmedIsOld(t *testing.T) {
+	for _, suspended := range []time.Duration{0, 1, time.Hour} {
+		s := &routeState{Suspended: func() time.Duration { return suspended }}
+		NewWithT(t).Expect(s.age()).To(BeNumerically(">", time.Hour))
+	}
+}
