roster: engines that are too old but not due stay in use while all are too old

What callers saw: fewer engines than could serve them, found by review of "of engines that are all too old only the newest stay in use".

Cause: weights count as too old 2 to 4 s before they are due, as requests may wait at an engine. While all engines of a model were too old, only those with the newest weights stayed in use, also where the others weren't due yet.

Change: while all are too old, those stay that aren't due; while all are due, those with the newest weights.

Measured, before: the new spec had one of the two engines that weren't due in use. After: specs of roster pass.

--- a/gateway/assemble.go
+++ b/gateway/assemble.go
@@ -115,7 +115,7 @@
 	g.versions = &weightsVersions{Converge: s.Bounds.ConvergeTime, Suspended: g.Suspended}
 	g.directory = &roster.Directory{
 		Self: self, RecoveryGrace: recordReturnTime, ChangeTimeout: converge.MaxChangeTime,
-		TooOld: g.versions.tooOld, Rollouts: g.rollouts, Log: g.Log.Named("roster"),
+		TooOld: g.versions.tooOld, Due: g.versions.due, Rollouts: g.rollouts, Log: g.Log.Named("roster"),
 	}
 }
 
--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -121,6 +121,12 @@
 	return v.Converge - v.elapsed(n.notBefore), true
 }
 
+// due reports whether requests must not begin any more on the weights of e.
+func (v *weightsVersions) due(e *hbs.Endpoint) bool {
+	left, ok := v.timeLeft(e)
+	return ok && left <= 0
+}
+
 // replacement returns the oldest publication that is newer than the weights of e, if
 // there is one. Its notBefore is the earliest one of all newer publications.
 func (v *weightsVersions) replacement(e *hbs.Endpoint) (n publication, ok bool) {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -17,8 +17,10 @@
 //  5. An engine that an instance announces as changing to newer weights gets no
 //     new work, because it would refuse it, until its record has them or
 //     ChangeTimeout has passed.
-//  6. An engine whose weights are too old gets no new work, unless no other engine
-//     of its model that gets new work has newer ones, be they too old as well.
+//  6. An engine whose weights are too old gets no new work while another engine of
+//     its model that gets work has weights that aren't. While the weights of all are too old,
+//     those get work whose weights are not due yet, and while all are due those
+//     with the newest ones: old answers are better than none.
 //  7. The roster marks the engines with older weights than the newest version,
 //     and among them those that are next to change.
 package roster
@@ -49,6 +51,9 @@
 	// TooOld reports whether an engine's weights are too old for new work (rule 6);
 	// nil means never.
 	TooOld func(*hbs.Endpoint) bool
+	// Due reports whether an engine's weights, which are too old, were to be replaced
+	// by now; nil means always.
+	Due func(*hbs.Endpoint) bool
 	// Rollouts returns the rollout state of the engines with older weights than the
 	// newest version (rule 7); nil means that there are none.
 	Rollouts func([]hbs.Endpoint) map[hbs.EndpointID]hbs.Rollout
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -169,6 +169,21 @@
 		})
 	})
 
+	// Guards against lost capacity and work on replaced weights (VERSION): engines whose
+	// weights aren't due yet went out of use together with those that are.
+	It("gives all engines whose weights aren't due yet new work while all are too old (rule 6)", func() {
+		withDirectory(func(g *WithT, d *roster.Directory) {
+			d.TooOld = func(*hbs.Endpoint) bool { return true }
+			d.Due = func(e *hbs.Endpoint) bool { return e.Weights == "9" }
+			d.Put(engine("a", "9"))
+			d.Put(engine("b", "10"))
+			d.Put(engine("c", "11"))
+			g.Expect(states(d)).To(Equal(map[hbs.EndpointID]hbs.EndpointState{
+				"a": hbs.StateDraining, "b": hbs.StateLive, "c": hbs.StateLive,
+			}))
+		})
+	})
+
 	// Guards against work on replaced weights that no log line explains.
 	It("logs when an engine's weights are too old, and whether it stays in use (rule 6)", func() {
 		withDirectory(func(g *WithT, d *roster.Directory) {
--- a/roster/weights.go
+++ b/roster/weights.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"math"
 	"time"
 
 	"go.uber.org/zap"
@@ -20,7 +21,7 @@
 	// weightsOverdue engines get no new work by rule 6.
 	weightsOverdue weightsState = "overdue"
 	// weightsOverdueInUse engines get new work although their weights are too old,
-	// since no engine of their model has newer ones (rule 6).
+	// since no engine of their model has better ones (rule 6).
 	weightsOverdueInUse weightsState = "overdue_in_use"
 )
 
@@ -31,7 +32,7 @@
 // holds mu.
 func (d *Directory) findWeightsStates() map[hbs.EndpointID]weightsState {
 	states := map[hbs.EndpointID]weightsState{}
-	newest := map[hbs.ModelName]int64{}
+	best := map[hbs.ModelName]usability{}
 	now := time.Now()
 	for id, e := range d.records {
 		if e.Kind != hbs.KindEngine || e.State != hbs.StateLive {
@@ -41,19 +42,39 @@
 			states[id] = weightsChanging
 			continue
 		}
-		if d.TooOld != nil && d.TooOld(&e) {
+		u := d.usability(&e)
+		if u < usable {
 			states[id] = weightsOverdue
 		}
-		newest[e.Model] = max(newest[e.Model], versionOf(&e))
+		best[e.Model] = max(best[e.Model], u)
 	}
 	for id, s := range states {
-		if e := d.records[id]; s == weightsOverdue && versionOf(&e) == newest[e.Model] {
+		if e := d.records[id]; s == weightsOverdue && d.usability(&e) == best[e.Model] {
 			states[id] = weightsOverdueInUse
 		}
 	}
 	return states
 }
 
+// usability ranks engines by their weights (rule 6): usable if they aren't too old,
+// usableUntilDue if they are too old but not yet due, and else their version.
+type usability int64
+
+const (
+	usable         usability = math.MaxInt64
+	usableUntilDue usability = usable - 1
+)
+
+func (d *Directory) usability(e *hbs.Endpoint) usability {
+	switch {
+	case d.TooOld == nil || !d.TooOld(e):
+		return usable
+	case d.Due != nil && !d.Due(e):
+		return usableUntilDue
+	}
+	return usability(versionOf(e))
+}
+
 // versionOf returns the version of an engine's weights, 0 if it is not known.
 func versionOf(e *hbs.Endpoint) int64 {
 	n, err := platform.ParseWeights(e.Weights)
