forward, gateway: whether a request may still begin is checked again and again

What callers saw: answers made on weights that should have been replaced, and requests broken off without need; found by review of "a request that hasn't begun when its engine's weights are due is ended" (rule 8).

Cause: the limit was worked out when the attempt began and checked once. Its timer stands still while the machine is suspended; an engine that was still in use at that moment, or a version that became known later, wasn't looked at again; and where one version follows another closely the first one was forgotten before it was due. Responses that are no streams counted as not started until their head came. An attempt that was ended counted as a failure of its engine, which was paused for it, and was followed by a dial.

Change: while no event of a stream has arrived, the sender asks every 250 ms, or at the moment when the weights are due, whether the request may still begin. Only streams have the limit. Such an attempt ends as withdrawn, which says nothing against the engine and may be followed by another one.

--- a/forward/buffered.go
+++ b/forward/buffered.go
@@ -13,7 +13,6 @@
 // passBuffered buffers a response that is not a stream and passes it on (rule 4).
 // What exceeds the buffer is passed on as it arrives.
 func (r *run) passBuffered(ctx context.Context, res *http.Response) {
-	r.responding.Store(true)
 	data, whole, err := r.buffers.buffer(res.Body, int(r.Policy.Number(attempt.KnobWholeBytes, r.scope())))
 	if err != nil {
 		r.failBroken(ctx, err)
--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -36,10 +36,15 @@
 }
 
 // runClass is like runEndless, for a request of another class.
-func runClass(class hbs.RouteClass, s *Sender, r endless.Response, rate endless.Rate) (out testRun) {
+func runClass(class hbs.RouteClass, s *Sender, r endless.Response, rate endless.Rate) testRun {
+	return runRequest(&hbs.Request{ID: "r1", Class: class, Method: http.MethodGet, Path: "/x", Header: http.Header{}}, s, r, rate)
+}
+
+// runRequest is like runEndless, for another request. It sets the request's deadline.
+func runRequest(req *hbs.Request, s *Sender, r endless.Response, rate endless.Rate) (out testRun) {
 	out.Played = endless.Play(suite, r, rate, func(ctx context.Context, n hbs.Network, server netip.AddrPort) {
 		s.Network, s.Policy, s.Metrics = n, knob.NewFixed(attempt.Knobs), metrics.NewRegistry()
-		req := &hbs.Request{ID: "r1", Class: class, Method: http.MethodGet, Path: "/x", Header: http.Header{}, Deadline: time.Now().Add(requestTime)}
+		req.Deadline = time.Now().Add(requestTime)
 		ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 		defer cancel()
 		out.Result = s.Run(ctx, &attempt.Call{Request: req, Sink: &out.sink, Placement: &hbs.Placement{Endpoint: hbs.Endpoint{Address: server}}})
--- a/forward/ends.go
+++ b/forward/ends.go
@@ -74,7 +74,7 @@
 		refusal.Reason = hbs.ReasonExpired
 	case startedLate(ctx):
 		r.count(meterStartedLate)
-		r.result.End = hbs.EndBroken
+		r.result.End = hbs.EndWithdrawn
 		refusal.Detail = errStartedLate.Error()
 	case ctx.Err() != nil, errors.Is(err, errCallerLeft), errors.Is(err, errLostRace):
 		refusal.Reason = hbs.ReasonCanceled
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -27,8 +27,9 @@
 //     longer than network.MaxHeaderBytes, an event longer than maxEvent and a
 //     response longer than attempt.max_bytes break the attempt.
 //  8. An endpoint's weights may be due for replacement at a time after which no
-//     request may begin on them. An attempt that waits at the endpoint until then is
-//     ended, so that the endpoint drops the request; another one may follow.
+//     request may begin on them. An attempt at a stream that waits at the endpoint
+//     until then is ended, so that the endpoint drops the request; another one may
+//     follow. It says nothing against the endpoint.
 package forward
 
 import (
@@ -76,13 +77,10 @@
 	// OnMismatch is called when an endpoint reported that it is not the intended
 	// one, or that it has other weights; may be nil.
 	OnMismatch func(e *hbs.Endpoint, a *platform.ResponseInfo)
-	// StartLimit returns how long an attempt at e that begins now may wait for the
-	// start of its response (rule 8), 0 without a limit; nil means that no endpoint
-	// has one.
-	StartLimit func(e *hbs.Endpoint) time.Duration
-	// InUse reports whether e, as it was when an attempt began, still gets new
-	// requests. If it does, StartLimit does not end the attempt.
-	InUse func(e *hbs.Endpoint) bool
+	// CheckStart reports whether a request must not begin any more at e, as it was when
+	// the attempt began (rule 8), and otherwise when to ask again; 0 means never. nil
+	// means that requests may begin at any time.
+	CheckStart func(e *hbs.Endpoint) (next time.Duration, end bool)
 	// BufferBytes bounds the parts of responses that all attempts together have
 	// buffered, in bytes; 0 means defaultBufferBytes.
 	BufferBytes int64
@@ -111,7 +109,7 @@
 	started time.Time
 	// lastArrival is when events of the stream last arrived.
 	lastArrival time.Time
-	// responding is set when the response begins to arrive.
+	// responding is set when the first event of a stream arrives.
 	responding atomic.Bool
 	result     attempt.Result
 	buffers    reservation
--- a/gateway/assemble.go
+++ b/gateway/assemble.go
@@ -133,8 +133,7 @@
 		BufferBytes: int64(bufferShare * float64(g.PlatformSettings.MemoryBytes)),
 		EventTokens: g.routes.eventTokens,
 		CacheStore:  g.routes.kvStoreAddress,
-		StartLimit:  g.startLimit,
-		InUse:       g.inUse,
+		CheckStart:  g.checkStart,
 		OnMismatch: func(e *hbs.Endpoint, r *platform.ResponseInfo) {
 			g.directory.SetReportedWeights(e.ID, e.Weights, r.Weights)
 		},
--- a/gateway/overdue_test.go
+++ b/gateway/overdue_test.go
@@ -10,17 +10,16 @@
 	"github.com/hornbeamstage/hornbeamstage/standin/pool"
 )
 
-// suspendedAfter is the time after the publication of new weights at which lateRuns
-// suspends the machines; engines that load new weights have them by then.
-const suspendedAfter = 4 * time.Second
+// suspension is when machines are suspended, after the publication of new weights,
+// and for how long.
+type suspension struct{ after, time time.Duration }
 
 // lateRuns sends many requests, with prompts that share nothing, until after the time
 // in which engines have to replace their weights. The callers wait for the first
 // event for wait, and engines make it shortly before that. The machines are suspended
-// once, for the time suspended. Two of the engines never replace their weights;
-// lateRuns returns how long after the publication of newer ones they began the last
-// request.
-func (f *fleet) lateRuns(wait, suspended time.Duration) (latest time.Duration) {
+// once. Two of the engines never replace their weights; lateRuns returns how long
+// after the publication of newer ones they began the last request.
+func (f *fleet) lateRuns(wait time.Duration, s suspension) (latest time.Duration) {
 	old := f.engines[:2]
 	f.fail(old, pool.Faults{Busy: true})
 	for _, e := range f.engines {
@@ -28,7 +27,7 @@
 	}
 	f.publishWeights(2)
 	start := time.Now()
-	time.AfterFunc(suspendedAfter, func() { f.suspend(suspended) })
+	time.AfterFunc(s.after, func() { f.suspend(s.time) })
 	for n := 0; time.Since(start) < convergeTime+wait; n++ {
 		f.wg.Go(func() {
 			c := streamCall(n % len(f.instances))
@@ -43,8 +42,8 @@
 	for _, e := range old {
 		for _, r := range e.Runs() {
 			began := r.Began.Sub(start)
-			if began > suspendedAfter {
-				began += suspended
+			if began > s.after {
+				began += s.time
 			}
 			latest = max(latest, began)
 		}
@@ -60,7 +59,7 @@
 			withFleet(func(f *fleet) {
 				f.publishRoutesWithObjective(2, objective)
 				time.Sleep(settleTime + time.Duration(phase)*250*time.Millisecond)
-				f.Expect(f.lateRuns(wait, 0)).To(BeNumerically("<=", convergeTime))
+				f.Expect(f.lateRuns(wait, suspension{})).To(BeNumerically("<=", convergeTime))
 			})
 		}
 	},
@@ -70,10 +69,40 @@
 
 	// Guards against work on replaced weights (VERSION): the time for which a machine
 	// was suspended didn't count towards the time in which weights are replaced.
-	It("begin no request too late at instances that were suspended", func() {
+	DescribeTable("begin no request too late at instances that were suspended", func(wait time.Duration, s suspension) {
 		withFleet(func(f *fleet) {
-			f.Expect(f.lateRuns(2*time.Second, 6*time.Second)).To(BeNumerically("<=", convergeTime))
+			f.publishRoutesWithObjective(2, time.Second)
+			time.Sleep(settleTime)
+			f.Expect(f.lateRuns(wait, s)).To(BeNumerically("<=", convergeTime))
 			f.Expect(f.versions()).To(Equal([]int64{1, 1, 2, 2}))
 		})
+	},
+		Entry("before the weights are due", 2*time.Second, suspension{4 * time.Second, 6 * time.Second}),
+		Entry("while requests wait that were sent shortly before", 4*time.Second, suspension{8500 * time.Millisecond, 3500 * time.Millisecond}),
+	)
+
+	// Guards against work on replaced weights (VERSION): instances that started on a
+	// machine that had been suspended before took every version for new.
+	It("begin no request at instances that start after a suspension", func() {
+		withFleet(func(f *fleet) {
+			f.suspend(6 * time.Second)
+			f.fail(f.engines[:2], pool.Faults{Busy: true})
+			f.publishWeights(2)
+			time.Sleep(takeoverTime + convergeTime)
+			f.Expect(f.versions()).To(Equal([]int64{1, 1, 2, 2}))
+			f.restart(0, 1)
+			time.Sleep(takeoverTime)
+			before := len(allRuns(f.engines[:2]))
+			for n := range 200 {
+				f.wg.Go(func() {
+					c := streamCall(n % len(f.instances))
+					c.id = fmt.Sprintf("late%d", n)
+					c.header["X-Prefix-Hash"] = fmt.Sprintf("a%d:300", n)
+					f.send(c)
+				})
+			}
+			time.Sleep(routeTimeout)
+			f.Expect(allRuns(f.engines[:2])).To(HaveLen(before))
+		})
 	})
 })
--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -60,11 +60,11 @@
 	return true
 }
 
-// active returns the publications of m without those whose successor is overdue,
-// which no longer matter.
+// active returns the publications of m without those whose successor is due, which no
+// longer matter.
 func (v *weightsVersions) active(m hbs.ModelName) []publication {
 	all := v.byModel[m]
-	for len(all) > 1 && v.overdue(all[1]) {
+	for len(all) > 1 && v.elapsed(all[1].notBefore) > v.Converge {
 		all = all[1:]
 	}
 	return all
@@ -147,12 +147,23 @@
 // cancelTime is the time in which the end of an attempt reaches its engine.
 const cancelTime = 100 * time.Millisecond
 
-// startLimit returns how long a request may wait at e before it begins, 0 without a
-// limit. There is none either for an engine whose weights are due already: it is in
-// use because no other has newer ones.
-func (g *Gateway) startLimit(e *hbs.Endpoint) time.Duration {
-	left, _ := g.versions.timeLeft(e)
-	return max(0, left-cancelTime)
+// checkStart reports whether a request that waits at e must not begin there any more,
+// and otherwise when to check again. Engines whose weights are due but that are still
+// in use may begin requests: no other engine has newer weights. A timer stands still
+// while the machine is suspended, and e may go out of use, so it checks often.
+func (g *Gateway) checkStart(e *hbs.Endpoint) (next time.Duration, end bool) {
+	if e.Kind != hbs.KindEngine {
+		return 0, false
+	}
+	left, limited := g.versions.timeLeft(e)
+	left -= cancelTime
+	switch {
+	case limited && left > 0:
+		return min(left, expireInterval), false
+	case limited && !g.inUse(e):
+		return 0, true
+	}
+	return expireInterval, false
 }
 
 // inUse reports whether e, a copy of an earlier record, still gets new requests on the
--- a/gateway/versions_test.go
+++ b/gateway/versions_test.go
@@ -9,36 +9,59 @@
 
 	hbs "github.com/hornbeamstage/hornbeamstage"
 	"github.com/hornbeamstage/hornbeamstage/platform"
+	"github.com/hornbeamstage/hornbeamstage/roster"
 )
 
+// replaceTime is the time in which weights have to be replaced.
+const replaceTime = 15 * time.Second
+
+// oldEngine has the version before the versions of the tests.
+var oldEngine = &hbs.Endpoint{ID: "e", Kind: hbs.KindEngine, Model: "m", Weights: "1"}
+
+// newVersions returns versions 2 and 3 of a model. The second one was published a
+// short time after the first, which was published now.
+func newVersions(suspended *time.Duration, gap time.Duration) *weightsVersions {
+	v := &weightsVersions{Converge: replaceTime, Suspended: func() time.Duration { return *suspended }}
+	v.add(platform.DesiredWeights{Model: "m", Version: 2}, moment{time.Now(), *suspended})
+	v.add(platform.DesiredWeights{Model: "m", Version: 3}, moment{time.Now().Add(gap), *suspended})
+	return v
+}
+
 // Guards against work on replaced weights (VERSION): a request sent at the last
-// moment at which its engine is in use began after the weights were due.
+// moment at which its engine is in use began after the weights were due, by another
+// version that was published soon after the first.
 func TestRequestsSentAtTheLastMomentBeginInTime(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := NewWithT(t)
-		v := &weightsVersions{Converge: 15 * time.Second, Suspended: func() time.Duration { return 0 }}
-		v.add(platform.DesiredWeights{Model: "m", Version: 2}, moment{at: time.Now()})
-		v.add(platform.DesiredWeights{Model: "m", Version: 3}, moment{at: time.Now().Add(time.Second)})
-		old := &hbs.Endpoint{Kind: hbs.KindEngine, Model: "m", Weights: "1"}
-		published := time.Now()
-		for !v.tooOld(old) {
-			time.Sleep(10 * time.Millisecond)
-		}
-		time.Sleep(expireInterval + connectTimeout)
-		limit := (&Gateway{versions: v}).startLimit(old)
-		g.Expect(limit).To(BeNumerically(">", 0))
-		g.Expect(time.Since(published) + limit).To(BeNumerically("<", v.Converge))
-	})
+	for _, gap := range []time.Duration{time.Second, 400 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			none := time.Duration(0)
+			v := newVersions(&none, gap)
+			gw := &Gateway{versions: v, directory: &roster.Directory{}}
+			published := time.Now()
+			for !v.tooOld(oldEngine) {
+				time.Sleep(10 * time.Millisecond)
+			}
+			time.Sleep(expireInterval + connectTimeout)
+			next, end := gw.checkStart(oldEngine)
+			g.Expect(end).To(BeFalse())
+			for !end {
+				time.Sleep(next)
+				next, end = gw.checkStart(oldEngine)
+			}
+			g.Expect(time.Since(published)).To(BeNumerically("<", replaceTime))
+		})
+	}
 }
 
 // Guards against work on replaced weights (VERSION): the age of versions found at the
 // start was negative on machines that had been suspended before.
 func TestVersionsFoundAtTheStartAreOldOnMachinesThatWereSuspended(t *testing.T) {
 	for _, suspended := range []time.Duration{0, 1, time.Hour} {
-		v := &weightsVersions{Converge: 15 * time.Second, Suspended: func() time.Duration { return suspended }}
+		v := &weightsVersions{Converge: replaceTime, Suspended: func() time.Duration { return suspended }}
 		v.add(platform.DesiredWeights{Model: "m", Version: 2}, moment{})
 		g := NewWithT(t)
-		g.Expect(v.tooOld(&hbs.Endpoint{Kind: hbs.KindEngine, Model: "m", Weights: "1"})).To(BeTrue())
+		g.Expect(v.tooOld(oldEngine)).To(BeTrue())
+		g.Expect(v.due(oldEngine)).To(BeTrue())
 	}
 }
 
--- a/placement.go
+++ b/placement.go
@@ -81,6 +81,9 @@
 	// EndCanceled means that the router abandoned the attempt, for example because the
 	// caller disconnected or another attempt of a hedged request won.
 	EndCanceled AttemptEnd = "canceled"
+	// EndWithdrawn means that the request was sent and the router ended the attempt
+	// before its response, because the request must not begin at the endpoint any more.
+	EndWithdrawn AttemptEnd = "withdrawn"
 )
 
 // AttemptResult is the outcome of an attempt and what was measured during it.
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -104,7 +104,7 @@
 // status from 400 to 499 is caused by the request itself, except 429, which means
 // that this endpoint receives too many requests.
 func mayHelp(res *attempt.Result) bool {
-	if res.End == hbs.EndBroken {
+	if res.End == hbs.EndBroken || res.End == hbs.EndWithdrawn {
 		return true
 	}
 	if res.End != hbs.EndFailed {
