dispatch: specs of engines that crash under requests

Change: rule 7 has specs of its own, with a stand-in for the package that decides: two crashes end a request, one is enough if it is told so, a broken connection alone is no crash, and nothing is sent after a refusal.

Measured: go test ./dispatch passes; with a third engine allowed the first of them fails.

--- /dev/null
+++ b/dispatch/crash_test.go
@@ -0,0 +1,142 @@
+package dispatch_test
+
+import (
+	"bufio"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	hbs "github.com/hornbeamstage/hornbeamstage"
+)
+
+// crashWatch records the calls of the dispatcher.
+type crashWatch struct {
+	// refusal is what Begin returns and final what makes Crashed return false.
+	refusal *hbs.Refusal
+	final   bool
+
+	mu                              sync.Mutex
+	begun, ended, crashed, answered int
+}
+
+func (w *crashWatch) Check(*hbs.Request) *hbs.Refusal { return nil }
+
+func (w *crashWatch) Begin(*hbs.Request) *hbs.Refusal {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.refusal == nil {
+		w.begun++
+	}
+	return w.refusal
+}
+
+func (w *crashWatch) End(*hbs.Request) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ended++
+}
+
+func (w *crashWatch) Crashed(_ *hbs.Request, _ *hbs.Endpoint, connected time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !connected.IsZero() {
+		w.crashed++
+	}
+	return !w.final
+}
+
+func (w *crashWatch) Answered(*hbs.Request) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.answered++
+}
+
+// addBreakingEngine adds an engine that closes the connection of each request without
+// an answer, and with crash set stops listening before. taken counts the requests.
+func (env *testEnv) addBreakingEngine(crash bool, taken *atomic.Int64) {
+	e := hbs.Endpoint{ID: hbs.EndpointID(env.address().String()), Kind: hbs.KindEngine, Model: "m", State: hbs.StateLive, Slots: 10}
+	e.Address = env.address()
+	env.placer.endpoints = append(env.placer.endpoints, e)
+	l, err := env.fabric.Network("a").Listen(e.Address)
+	env.Expect(err).NotTo(HaveOccurred())
+	env.wg.Go(func() {
+		<-env.ctx.Done()
+		_ = l.Close()
+	})
+	env.wg.Go(func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			env.wg.Go(func() {
+				defer func() { _ = conn.Close() }()
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+					return
+				}
+				taken.Add(1)
+				if crash {
+					_ = l.Close()
+				}
+			})
+		}
+	})
+}
+
+var _ = Describe("an engine that breaks connections", func() {
+	// serve serves a request at three such engines, and returns how many got it.
+	serve := func(env *testEnv, w *crashWatch, crash bool) (taken int64) {
+		var n atomic.Int64
+		for range 3 {
+			env.addBreakingEngine(crash, &n)
+		}
+		env.d.Crashes = w
+		outcome, err := env.d.Serve(env.ctx, chatRequest(5), nil, &sink{})
+		env.Expect(err).To(HaveOccurred())
+		if w.refusal == nil {
+			env.Expect(outcome).To(Equal(hbs.OutcomeUnknown))
+		} else {
+			env.Expect(outcome).To(Equal(hbs.OutcomeNotRun))
+		}
+		env.Expect(w.ended).To(Equal(w.begun))
+		env.Expect(w.answered).To(BeZero())
+		return n.Load()
+	}
+
+	// Guards against one request that crashes an engine with each of its attempts.
+	It("is taken for crashed if it no longer listens, and a request that crashed two is not sent to a third (rule 7)", func() {
+		runInEnv(func(env *testEnv) {
+			w := &crashWatch{}
+			env.Expect(serve(env, w, true)).To(BeEquivalentTo(2))
+			env.Expect(w.crashed).To(Equal(2))
+		})
+	})
+
+	// Guards against repeats of a request that is known to be dangerous.
+	It("ends the request if its parts have crashed others (rule 7)", func() {
+		runInEnv(func(env *testEnv) {
+			env.Expect(serve(env, &crashWatch{final: true}, true)).To(BeEquivalentTo(1))
+		})
+	})
+
+	// Guards against engines that are taken for crashed when connections are reset.
+	It("has not crashed if it listens (rule 7)", func() {
+		runInEnv(func(env *testEnv) {
+			w := &crashWatch{}
+			env.Expect(serve(env, w, false)).To(BeEquivalentTo(3))
+			env.Expect(w.crashed).To(BeZero())
+		})
+	})
+
+	// Guards against a request that was queued while its part became known.
+	It("gets no request that is refused right before it is sent (rule 7)", func() {
+		runInEnv(func(env *testEnv) {
+			w := &crashWatch{refusal: hbs.NotRun(hbs.ReasonQuarantined, "part p", time.Second)}
+			env.Expect(serve(env, w, true)).To(BeZero())
+		})
+	})
+})
