quarantine: parts beside the deadly one are not blamed first, nor with it

Cause: settleTime began for each part by itself, so that of two suspects the one that was known first was judged first, although the other had its crashes and more. Of parts with the same crashes all were blamed.

Change: a part waits while another was at all of its crashes and at more, and until settleTime after its last crash. Of parts with the same crashes the last in the prompt is quarantined; the others stay suspect, and are tried by one request at a time, until an answer or a crash without it.

Test: quarantine, "is not blamed while another part, known later, explains its crashes and more" and "is not blamed as it only comes with a deadly one, until it crashes engines without it"; each fails without its part of the change.

--- a/quarantine/judge.go
+++ b/quarantine/judge.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -97,7 +98,6 @@
 
 // mostBlamed returns the part to be quarantined first, nil if there is none.
 func (t *Tracker) mostBlamed(now time.Time) (most partKey, blamed *part) {
-	crashes := 0
 	for k, p := range t.suspects {
 		p.expire(now)
 		n, enough := t.distinctCrashes(p), t.enough(k.model)
@@ -105,14 +105,51 @@
 		switch {
 		case n < enough:
 			t.suspect(k, p, now)
-		case now.Sub(p.suspectSince) < settleTime, answered < n, float64(n)*share < minEvidence*float64(enough):
-		case len(p.crashes) > crashes || len(p.crashes) == crashes && k.id < most.id:
-			most, blamed, crashes = k, p, len(p.crashes)
+		case now.Sub(p.suspectSince) < settleTime, now.Sub(p.lastCrash) < settleTime:
+		case answered < n, float64(n)*share < minEvidence*float64(enough), t.outweighed(k, p), t.allExplained(k, p):
+		case blamed == nil || p.compare(blamed) > 0 || p.compare(blamed) == 0 && k.id < most.id:
+			most, blamed = k, p
 		}
 	}
 	return most, blamed
 }
 
+// compare returns a positive number if p is to be quarantined before q.
+func (p *part) compare(q *part) int {
+	return cmp.Or(cmp.Compare(len(p.crashes), len(q.crashes)), cmp.Compare(p.depth, q.depth))
+}
+
+// allExplained reports whether quarantined parts explain all crashes of a part.
+func (t *Tracker) allExplained(k partKey, p *part) bool {
+	for id := range p.crashes {
+		if !t.explained(k.model, id) {
+			return false
+		}
+	}
+	return true
+}
+
+// outweighed reports whether another part, which is not quarantined, was at all of a
+// part's crashes and at more.
+func (t *Tracker) outweighed(k partKey, p *part) bool {
+	for other, q := range t.parts {
+		if other.model == k.model && q.until.IsZero() && len(q.crashes) > len(p.crashes) && covers(q, p) {
+			return true
+		}
+	}
+	return false
+}
+
+// covers reports whether q was at all crashes of p.
+func covers(q, p *part) bool {
+	for id := range p.crashes {
+		if _, ok := q.crashes[id]; !ok {
+			return false
+		}
+	}
+	return true
+}
+
 // quarantine begins a quarantine, which another instance told of if from is not
 // empty.
 func (t *Tracker) quarantine(k partKey, p *part, now time.Time, d time.Duration, from string) {
--- a/quarantine/part.go
+++ b/quarantine/part.go
@@ -26,6 +26,8 @@
 	at time.Time
 	// own is set if this instance saw it.
 	own bool
+	// depth is the place of the part in the prompt, from 0.
+	depth int
 }
 
 // part is what is known about one part.
@@ -39,6 +41,8 @@
 	// number of own attempts with the part under which an engine crashed since.
 	before       balance
 	crashedUnder int
+	// depth is the deepest place of the part in prompts.
+	depth int
 	// lastCrash is the time of the latest crash.
 	lastCrash time.Time
 	// suspectSince is when the part became suspect; zero if it is not.
@@ -170,7 +174,7 @@
 	p.expire(now)
 	old, known := p.crashes[id]
 	if known {
-		c = crash{earlier(c.at, old.at), c.own || old.own}
+		c = crash{earlier(c.at, old.at), c.own || old.own, c.depth}
 	}
 	if !c.at.After(p.since) || now.Sub(c.at) > evidenceTTL || !known && len(p.crashes) >= maxCrashes {
 		return
@@ -185,6 +189,7 @@
 	}
 	p.crashes[id] = c
 	p.touched = now
+	p.depth = max(p.depth, c.depth)
 	if c.at.After(p.lastCrash) {
 		p.lastCrash = c.at
 	}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -21,9 +21,12 @@
 //     were answered meanwhile (of those answered or crashed under, and priorCrashed
 //     more), are minEvidence of quarantine.crashes, and there were at least as many
 //     answers as crashes. So while engines crash under everybody, no part is blamed.
-//  5. A suspect is quarantined settleTime after it became one, when what other
-//     instances saw is known too. Of several that are to blame the one with the most
-//     crashes is first, and crashes that a quarantined part explains no longer count
+//  5. A suspect is quarantined settleTime after it became one and after its last
+//     crash, when what other instances saw is known too. Of several that are to blame
+//     the one with the most crashes is first; one waits while another part was at all
+//     of its crashes and at more. Of parts with the same crashes only the last in the
+//     prompt is quarantined: the others stay suspect until an answer or a crash
+//     without it. Crashes that a quarantined part explains no longer count
 //     against the parts that were at only some of its crashes: engines work on
 //     several requests, and placement sends similar ones to the same engines.
 //  6. Requests with a suspect part are tried one at a time, and not within trialPause
@@ -207,7 +210,7 @@
 	t.addMoment(id, now, now)
 	for i, name := range req.Parts {
 		names[i] = string(name)
-		t.addCrash(partKey{req.Model, name}, id, crash{now, true}, now)
+		t.addCrash(partKey{req.Model, name}, id, crash{now, true, i}, now)
 	}
 	again = t.mayRepeat(req)
 	t.judge(now)
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -219,6 +219,34 @@
 			time.Sleep(moment)
 			g.Expect(t.Check(request("shared", "beside"))).To(BeNil())
 			g.Expect(t.Check(request("shared", "bad"))).NotTo(BeNil())
+			for range 3 {
+				g.Expect(t.Begin(request("shared", "beside"))).To(BeNil(), "it is no longer suspect")
+			}
+		})
+	})
+
+	// Guards against a part that is blamed first, since the deadly one was known later.
+	It("is not blamed while another part, known later, explains its crashes and more (rule 5)", func() {
+		inBubble(func(g *WithT) {
+			here, there := newTracker("i"), newTracker("j")
+			for n := range 4 {
+				if n > 0 {
+					here.Crashed(request("shared", "beside"), engine(n, 1), time.Time{})
+				}
+				there.Crashed(request("shared", "bad"), engine(n, 1), time.Time{})
+				answer(here, 5, "shared", "other")
+				time.Sleep(200 * time.Millisecond)
+			}
+			time.Sleep(200 * time.Millisecond)
+			value, _, err := there.Report()
+			g.Expect(err).NotTo(HaveOccurred())
+			here.Merge(&hbs.Object{Kind: quarantine.Kind, Name: "j", Revision: 1, Value: value}, true)
+			for range 10 {
+				time.Sleep(100 * time.Millisecond)
+				answer(here, 1, "shared", "other")
+				g.Expect(here.Check(request("beside"))).To(BeNil())
+			}
+			g.Expect(here.Check(request("bad"))).NotTo(BeNil())
 		})
 	})
 
@@ -246,6 +274,25 @@
 		})
 	})
 
+	// Guards against sound requests that are refused for a part which so far only came
+	// together with the deadly one.
+	It("is not blamed as it only comes with a deadly one, until it crashes engines without it (rules 5 and 6)", func() {
+		inBubble(func(g *WithT) {
+			t := newTracker("i")
+			crash(t, 3, "shared", "middle", "worse")
+			g.Expect(t.Check(request("shared", "middle", "worse"))).NotTo(BeNil())
+			g.Expect(t.Check(request("shared", "middle"))).To(BeNil())
+			time.Sleep(2 * moment)
+			trial := request("shared", "middle")
+			g.Expect(t.Begin(trial)).To(BeNil())
+			g.Expect(t.Begin(request("shared", "middle"))).NotTo(BeNil())
+			t.Crashed(trial, engine(9, 1), time.Time{})
+			t.End(trial)
+			time.Sleep(moment)
+			g.Expect(t.Check(request("shared", "middle"))).NotTo(BeNil())
+		})
+	})
+
 	// Guards against a verdict before the other instances' reports have arrived.
 	It("is not blamed before it is known what others saw (rules 5 and 9)", func() {
 		inBubble(func(g *WithT) {
@@ -308,8 +355,8 @@
 			t := newTracker("i")
 			for n := range 3 {
 				t.Crashed(request("part"), engine(n, 1), time.Time{})
-				for range 10 {
-					t.Crashed(request("other"), engine(n, 1), time.Time{})
+				for i := range 10 {
+					t.Crashed(request(hbs.PartID(fmt.Sprint("other", n, i))), engine(n, 1), time.Time{})
 				}
 				answer(t, 2, "third")
 				time.Sleep(moment)
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -53,6 +53,8 @@
 	Part        hbs.PartID      `json:"part"`
 	Endpoint    hbs.EndpointID  `json:"endpoint,omitempty"`
 	Incarnation hbs.Incarnation `json:"incarnation,omitempty"`
+	// Depth is the place of the part in the prompt, from 0.
+	Depth int `json:"depth,omitempty"`
 	// Again counts the earlier crashes of the same incarnation.
 	Again int `json:"again,omitempty"`
 	// AgeMS is how long ago it was when the report was written, in milliseconds.
@@ -94,7 +96,7 @@
 		e := entry{Model: k.model, Part: k.id}
 		for id, c := range p.crashes {
 			if c.own && now.Sub(c.at) <= crashTTL {
-				e.Endpoint, e.Incarnation, e.Again, e.AgeMS = id.endpoint, id.incarnation, id.again, now.Sub(c.at).Milliseconds()
+				e.Endpoint, e.Incarnation, e.Again, e.Depth, e.AgeMS = id.endpoint, id.incarnation, id.again, p.depth, now.Sub(c.at).Milliseconds()
 				crashes = append(crashes, e)
 				p.told = true
 			}
@@ -250,7 +252,7 @@
 	}
 	id := crashID{e.Endpoint, e.Incarnation, e.Again}
 	m.t.addMoment(id, e.at(m.now), m.now)
-	m.t.addCrash(e.key(), id, crash{e.at(m.now), m.own}, m.now)
+	m.t.addCrash(e.key(), id, crash{e.at(m.now), m.own, e.Depth}, m.now)
 }
 
 func (m *merger) quarantine(e *entry) {
