quarantine: the cheaper condition is looked at first

Cause: a part that stays suspect beside a quarantined one with the same crashes was compared with all parts at each decision, before it was seen that all of its crashes are explained.

Change: the order of the two conditions. Behaviour is as it was.

--- a/quarantine/judge.go
+++ b/quarantine/judge.go
@@ -106,7 +106,7 @@
 		case n < enough:
 			t.suspect(k, p, now)
 		case now.Sub(p.suspectSince) < settleTime, now.Sub(p.lastCrash) < settleTime:
-		case answered < n, float64(n)*share < minEvidence*float64(enough), t.outweighed(k, p), t.allExplained(k, p):
+		case answered < n, float64(n)*share < minEvidence*float64(enough), t.allExplained(k, p), t.outweighed(k, p):
 		case blamed == nil || p.compare(blamed) > 0 || p.compare(blamed) == 0 && k.id < most.id:
 			most, blamed = k, p
 		}
