dispatch: only a dial that began after an attempt broke shows that its engine listens

Each crash that isn't noticed costs one more engine before a part is known.

Cause: the result of a dial held for 250 ms, also that of one which found the engine listening. A crash within that time after another broken connection was no crash.

Change: a refused dial holds as before; one that found the engine listening only for attempts that broke before it began. Others wait for it and share the next one, so an engine still gets one dial at a time.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -19,9 +19,9 @@
 	// probeTimeout bounds the dial that finds out whether an engine crashed. It allows
 	// many round trips within a region.
 	probeTimeout = 200 * time.Millisecond
-	// probeInterval is the time for which the result of a dial holds. It bounds the
-	// dials to an engine that breaks connections without crashing, and is well below
-	// the time in which an engine starts again.
+	// probeInterval is the time for which a refused dial holds, well below the time in
+	// which an engine starts again. An engine that breaks connections without crashing
+	// gets one dial at a time.
 	probeInterval = 250 * time.Millisecond
 )
 
@@ -107,7 +107,7 @@
 }
 
 // crashProbes finds out whether engines listen, with one dial for all attempts that
-// broke at the same time. The zero value is ready to use.
+// broke before it began. The zero value is ready to use.
 type crashProbes struct {
 	mu     sync.Mutex
 	probes map[hbs.EndpointID]*crashProbe
@@ -120,22 +120,29 @@
 	refused bool
 }
 
-// refused reports whether e refuses connections.
+// refused reports whether e refuses connections. A dial that began earlier and found it
+// listening says nothing: it may have crashed since.
 func (c *crashProbes) refused(ctx context.Context, n hbs.Network, e *hbs.Endpoint) bool {
-	p, first := c.probe(e.ID)
-	if first {
-		p.run(ctx, n, e)
+	broken := time.Now()
+	for {
+		p, first := c.probe(e.ID, broken)
+		if first {
+			p.run(ctx, n, e)
+		}
+		<-p.done
+		if p.refused || !p.started.Before(broken) {
+			return p.refused
+		}
 	}
-	<-p.done
-	return p.refused
 }
 
-// probe returns the current dial of an endpoint, and whether the caller has to run it.
-func (c *crashProbes) probe(id hbs.EndpointID) (p *crashProbe, first bool) {
+// probe returns a dial of an endpoint to wait for, and whether the caller has to run
+// it.
+func (c *crashProbes) probe(id hbs.EndpointID, broken time.Time) (p *crashProbe, first bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	if p = c.probes[id]; p != nil && now.Sub(p.started) < probeInterval {
+	if p = c.probes[id]; p != nil && now.Sub(p.started) < probeInterval && p.serves(broken) {
 		return p, false
 	}
 	for old, o := range c.probes {
@@ -151,6 +158,17 @@
 	return p, true
 }
 
+// serves reports whether the dial's result, or its end, is of use to an attempt that
+// broke at a time.
+func (p *crashProbe) serves(broken time.Time) bool {
+	select {
+	case <-p.done:
+		return p.refused || !p.started.Before(broken)
+	default:
+		return true
+	}
+}
+
 // run dials. It outlives the request, as others may wait for the result.
 func (p *crashProbe) run(ctx context.Context, n hbs.Network, e *hbs.Endpoint) {
 	defer close(p.done)
--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -58,6 +59,12 @@
 // addBreakingEngine adds an engine that closes the connection of each request without
 // an answer, and with crash set stops listening before. taken counts the requests.
 func (env *testEnv) addBreakingEngine(crash bool, taken *atomic.Int64) {
+	env.addAnsweringEngine("", func() bool { return crash }, taken)
+}
+
+// addAnsweringEngine adds an engine that writes an answer to each request before it
+// closes the connection. crash reports whether it stops listening before.
+func (env *testEnv) addAnsweringEngine(answer string, crash func() bool, taken *atomic.Int64) {
 	e := hbs.Endpoint{ID: hbs.EndpointID(env.address().String()), Kind: hbs.KindEngine, Model: "m", State: hbs.StateLive, Slots: 10}
 	e.Address = env.address()
 	env.placer.endpoints = append(env.placer.endpoints, e)
@@ -79,7 +86,8 @@
 					return
 				}
 				taken.Add(1)
-				if crash {
+				_, _ = io.WriteString(conn, answer)
+				if crash() {
 					_ = l.Close()
 				}
 			})
@@ -132,6 +140,23 @@
 		})
 	})
 
+	// Guards against a crash that is not noticed as the engine was found listening
+	// shortly before.
+	It("has crashed if it no longer listens, although it did 100 ms before (rule 7)", func() {
+		runInEnv(func(env *testEnv) {
+			var n atomic.Int64
+			env.addAnsweringEngine("", func() bool { return n.Load() > 1 }, &n)
+			w := &crashWatch{}
+			env.d.Crashes = w
+			for crashes := range 2 {
+				_, err := env.d.Serve(env.ctx, chatRequest(5), nil, &sink{})
+				env.Expect(err).To(HaveOccurred())
+				env.Expect(w.crashed).To(Equal(crashes))
+				time.Sleep(100 * time.Millisecond)
+			}
+		})
+	})
+
 	// Guards against a request that was queued while its part became known.
 	It("gets no request that is refused right before it is sent (rule 7)", func() {
 		runInEnv(func(env *testEnv) {
