quarantine: one loss of power is one crash, also if instances tell of it late

Cause: a told crash seemed as late as its report took to arrive, while the list of all crashes kept the first known time. So nothing was found near it, and a part that was at none of the engines counted as at enough of them. One loss of power became as many crashes as reports told of it.

Change: crashes are told apart by the first known time of each; one near which nothing is known doesn't count.

Test: "is not blamed for one loss of power of which several instances tell": before, the sound part was quarantined.

--- a/quarantine/part.go
+++ b/quarantine/part.go
@@ -23,7 +23,9 @@
 
 // crash is a crash that counts against a part.
 type crash struct {
-	at time.Time
+	// at is when it was seen, and moment the time in moments, which others may have
+	// told.
+	at, moment time.Time
 	// own is set if this instance saw it.
 	own bool
 	// depth is the place of the part in the prompt, from 0.
@@ -174,7 +176,7 @@
 	p.expire(now)
 	old, known := p.crashes[id]
 	if known {
-		c = crash{earlier(c.at, old.at), c.own || old.own, c.depth}
+		c = crash{earlier(c.at, old.at), old.moment, c.own || old.own, c.depth}
 	}
 	if !c.at.After(p.since) || now.Sub(c.at) > evidenceTTL || !known && len(p.crashes) >= maxCrashes {
 		return
@@ -203,7 +205,7 @@
 func (t *Tracker) distinctCrashes(p *part) int {
 	at := make([]time.Time, 0, len(p.crashes))
 	for _, c := range p.crashes {
-		at = append(at, c.at)
+		at = append(at, c.moment)
 	}
 	slices.SortFunc(at, time.Time.Compare)
 	n := 0
@@ -229,7 +231,7 @@
 			with++
 		}
 	}
-	return float64(with) >= minExplained*float64(all)
+	return with > 0 && float64(with) >= minExplained*float64(all)
 }
 
 // firstMoment returns the index of the first crash that is not before a time.
@@ -255,15 +257,17 @@
 	return id
 }
 
-// addMoment records the time of a crash, unless it is known.
-func (t *Tracker) addMoment(id crashID, at, now time.Time) {
+// addMoment records the time of a crash, unless it is known. It returns the recorded
+// time.
+func (t *Tracker) addMoment(id crashID, at, now time.Time) time.Time {
 	old := 0
 	for old < len(t.moments) && (now.Sub(t.moments[old].at) > evidenceTTL || len(t.moments)-old >= maxMoments) {
 		old++
 	}
 	t.moments = slices.Delete(t.moments, 0, old)
-	if slices.ContainsFunc(t.moments, func(m moment) bool { return m.id == id }) {
-		return
+	if i := slices.IndexFunc(t.moments, func(m moment) bool { return m.id == id }); i >= 0 {
+		return t.moments[i].at
 	}
 	t.moments = slices.Insert(t.moments, t.firstMoment(at), moment{at, id})
+	return at
 }
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -13,7 +13,8 @@
 //     made to it after a crash, since its record may be old. Crashes of several engines
 //     within sameMoment have a common cause. They count once against a part, and only
 //     if it was at a third of these engines or more: a loss of power is no fault of
-//     what happened to run at one of them.
+//     what happened to run at one of them. Of what several instances tell of a crash
+//     the first known time holds.
 //  3. An answer to a request proves its parts sound. All crashes before it no longer
 //     count against them.
 //  4. A part against which quarantine.crashes crashes count is suspect. A suspect is
@@ -207,10 +208,10 @@
 	t.mu.Lock()
 	id := t.crashOf(e, connected)
 	t.add(req.Model, balance{crashed: 1}, now)
-	t.addMoment(id, now, now)
+	known := t.addMoment(id, now, now)
 	for i, name := range req.Parts {
 		names[i] = string(name)
-		t.addCrash(partKey{req.Model, name}, id, crash{now, true, i}, now)
+		t.addCrash(partKey{req.Model, name}, id, crash{now, known, true, i}, now)
 	}
 	again = t.mayRepeat(req)
 	t.judge(now)
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -203,6 +203,30 @@
 		})
 	})
 
+	// Guards against one loss of power that counts as several crashes, since reports
+	// of it arrive at different times.
+	It("is not blamed for one loss of power of which several instances tell (rules 2 and 9)", func() {
+		inBubble(func(g *WithT) {
+			t := newTracker("i")
+			var reports []hbs.Object
+			for n := range 3 {
+				t.Crashed(request("beside"), engine(n, 1), time.Time{})
+				o := newTracker(fmt.Sprint("o", n))
+				o.Crashed(request("shared", "part"), engine(n, 1), time.Time{})
+				value, _, err := o.Report()
+				g.Expect(err).NotTo(HaveOccurred())
+				reports = append(reports, hbs.Object{Kind: quarantine.Kind, Name: string(o.Self), Revision: 1, Value: value})
+			}
+			for i := range reports {
+				time.Sleep(300 * time.Millisecond)
+				t.Merge(&reports[i], true)
+			}
+			time.Sleep(moment)
+			answer(t, 50, "other")
+			g.Expect(t.Check(request("shared", "part"))).To(BeNil())
+		})
+	})
+
 	// Guards against a part that is blamed for the crashes of engines that ran it
 	// beside a deadly one, as placement sends similar requests to the same engines.
 	It("is not blamed for crashes that another part explains (rule 5)", func() {
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -251,8 +251,9 @@
 		return
 	}
 	id := crashID{e.Endpoint, e.Incarnation, e.Again}
-	m.t.addMoment(id, e.at(m.now), m.now)
-	m.t.addCrash(e.key(), id, crash{e.at(m.now), m.own, e.Depth}, m.now)
+	// Told crashes seem later than they were, by the time that telling takes.
+	known := m.t.addMoment(id, e.at(m.now), m.now)
+	m.t.addCrash(e.key(), id, crash{earlier(e.at(m.now), known), known, m.own, e.Depth}, m.now)
 }
 
 func (m *merger) quarantine(e *entry) {
