quarantine: what an answer ended elsewhere is no longer told, nor crashes of before an instance began

Cause: in listings answers of reports that are new to an instance were left out, since their ages are no longer true, but crashes weren't: an instance that started blamed parts that had been answered. A quarantine that another instance's answer ended stayed in the report of the instance that had told it. A quarantine found due while a report was read wasn't told, and a part that became suspect by a told crash wasn't judged until a request came.

Change: such crashes are left out too; their quarantines are adopted as before. After a told answer an instance rewrites its report if that had the part. Merge tells of what it finds, and suspects are judged at each settleTime. The price: an instance that starts doesn't count crashes of before, so a part that is not quarantined yet may crash up to quarantine.crashes - 1 more engines before this instance blames it alone.

Tests: "tell one that starts later of no quarantine that an answer at another has ended", "is told nothing by crashes of long ago, as by answers" and "tells of a quarantine that it finds due while it reads"; before, the first two were refused, the third told nothing. "Go on with the report of an earlier incarnation" expected that only the restarted instance writes, as it knew its earlier crash; now the other one finds the quarantine, and the spec checks that the restarted instance's one report has its new crashes, which is what it guards.

--- a/quarantine/part.go
+++ b/quarantine/part.go
@@ -121,6 +121,20 @@
 	return len(p.crashes) == 0
 }
 
+// ownEntries returns the number of entries that the instance's report has of a part,
+// other than answers.
+func (p *part) ownEntries() (n int) {
+	if p.own {
+		n++
+	}
+	for _, c := range p.crashes {
+		if c.own {
+			n++
+		}
+	}
+	return n
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -40,7 +40,8 @@
 //     the part up to maxDuration, or until an answer proves the part sound. After it
 //     crashes count anew.
 //  9. Instances tell each other crashes, quarantines and answers (Report, Merge). A
-//     told crash counts like an own one. A told quarantine is adopted as it is. A told
+//     told crash counts like an own one, unless it is from a report that was written
+//     before this instance knew of it. A told quarantine is adopted as it is. A told
 //     answer is one of rule 3, at the time at which it was given.
 //  10. Everything told is bounded, in bytes, entries and time, and an entry that can't
 //     be used is ignored alone. Times are told as ages, since clocks differ; only the
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -153,12 +153,19 @@
 // was written just now. The first one under this instance's own name is that of its
 // earlier incarnation.
 func (t *Tracker) Merge(obj *hbs.Object, fresh bool) {
+	if t.merge(obj, fresh) {
+		t.changed()
+	}
+}
+
+// merge is Merge. It reports whether there is something to tell.
+func (t *Tracker) merge(obj *hbs.Object, fresh bool) (news bool) {
 	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	seen, known := t.reports[obj.Name]
 	if known && obj.Revision <= seen.revision {
-		return
+		return false
 	}
 	own := obj.Name == string(t.Self)
 	if t.reports == nil {
@@ -166,33 +173,28 @@
 	}
 	t.reports[obj.Name] = reportState{obj.Revision, now, time.Time{}}
 	if own && known {
-		return
+		return false
 	}
 	var r report
 	if len(obj.Value) > maxReportBytes {
 		t.ignore(obj, errors.Newf("report has %d bytes", len(obj.Value)))
-		return
+		return false
 	}
 	if err := json.Unmarshal(obj.Value, &r); err != nil {
 		t.ignore(obj, err)
-		return
+		return false
+	}
+	m := merger{t: t, obj: obj, now: now, own: own}
+	// In a report that was written some time ago ages are no longer true: an answer
+	// could seem to be later than a crash, or a crash than an answer.
+	if fresh || known {
+		m.each(r.Crashes, m.crash)
 	}
-	m := merger{t, obj, now, own}
-	m.each(r.Crashes, m.crash)
 	m.each(r.Quarantines, m.quarantine)
 	if fresh || known {
-		// In a report that was written some time ago ages are no longer true, so an
-		// answer could seem to be later than a crash.
 		m.each(r.Answers, m.answer)
 	}
-	t.judge(now)
-}
-
-// undecided reports whether a part is suspect.
-func (t *Tracker) undecided() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return len(t.suspects) > 0
+	return t.judge(now) || m.withdrawn
 }
 
 // Removed records that a report was removed.
@@ -228,6 +230,8 @@
 	now time.Time
 	// own is set for the report of this instance's earlier incarnation.
 	own bool
+	// withdrawn is set once something that this instance has told no longer holds.
+	withdrawn bool
 }
 
 func (m *merger) each(list []json.RawMessage, apply func(*entry)) {
@@ -275,7 +279,11 @@
 }
 
 func (m *merger) answer(e *entry) {
-	if p := m.t.parts[e.key()]; p != nil {
-		m.t.answered(e.key(), p, e.at(m.now), "answered at "+m.obj.Name)
+	p := m.t.parts[e.key()]
+	if p == nil {
+		return
 	}
+	before := p.ownEntries()
+	m.t.answered(e.key(), p, e.at(m.now), "answered at "+m.obj.Name)
+	m.withdrawn = m.withdrawn || p.ownEntries() < before
 }
--- a/quarantine/sharer.go
+++ b/quarantine/sharer.go
@@ -74,12 +74,10 @@
 	interval := minWriteInterval
 	sweep := time.NewTimer(sweepTime())
 	defer sweep.Stop()
+	// Suspects, also those that were told, are judged also if no request comes.
+	settled := time.NewTicker(settleTime)
+	defer settled.Stop()
 	for {
-		// A suspect is judged also if no request comes.
-		var settled <-chan time.Time
-		if s.Tracker.undecided() {
-			settled = time.After(settleTime)
-		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -87,7 +85,7 @@
 			s.sweep(ctx)
 			sweep.Reset(sweepTime())
 			continue
-		case <-settled:
+		case <-settled.C:
 			if s.Tracker.settle() {
 				s.notify()
 			}
--- a/quarantine/sharer_test.go
+++ b/quarantine/sharer_test.go
@@ -192,6 +192,24 @@
 		})
 	})
 
+	// Guards against an instance that starts and refuses a sound part, as the report of
+	// the quarantine that an answer ended is still in the store.
+	It("tell one that starts later of no quarantine that an answer at another has ended (rule 9)", func() {
+		withSharing(3, func(s *sharing) {
+			for n := range 3 {
+				s.crashAt(0, n)
+			}
+			time.Sleep(shareTime)
+			s.Expect(s.refusing("bad")).To(Equal(3))
+			answer(s.trackers[2], 1, "shared", "bad")
+			time.Sleep(shareTime)
+			s.Expect(s.refusing("bad")).To(BeZero())
+			late := s.start("late")
+			time.Sleep(shareTime)
+			s.Expect(late.Check(request("bad"))).To(BeNil())
+		})
+	})
+
 	// Guards against a store that is needed to protect engines.
 	It("go by their own crashes while the store is away, and share them when it is back", func() {
 		withSharing(3, func(s *sharing) {
@@ -241,7 +259,56 @@
 			s.crashAt(1, 2)
 			time.Sleep(shareTime)
 			s.Expect(s.refusing("bad")).To(Equal(2))
-			s.Expect(s.store.Objects(quarantine.Kind)).To(HaveLen(1))
+			reports := map[string]string{}
+			for _, o := range s.store.Objects(quarantine.Kind) {
+				s.Expect(reports).NotTo(HaveKey(o.Name))
+				reports[o.Name] = string(o.Value)
+			}
+			s.Expect(reports).To(And(HaveLen(2), HaveKey("i1")))
+			s.Expect(reports["i0"]).To(And(ContainSubstring(`"e1"`), ContainSubstring(`"e2"`)))
+		})
+	})
+})
+
+// report returns what an instance has to tell.
+func report(g *WithT, t *quarantine.Tracker, revision hbs.Revision) *hbs.Object {
+	value, _, err := t.Report()
+	g.Expect(err).NotTo(HaveOccurred())
+	return &hbs.Object{Kind: quarantine.Kind, Name: string(t.Self), Revision: revision, Value: value}
+}
+
+var _ = Describe("an instance that reads reports", func() {
+	// Guards against an instance that starts and blames a part that was answered since.
+	It("is told nothing by crashes of long ago, as by answers (rule 9)", func() {
+		inBubble(func(g *WithT) {
+			t, saw, knows := newTracker("i"), newTracker("j"), newTracker("k")
+			for n := range 3 {
+				saw.Crashed(request("shared", "sound"), engine(n, 1), time.Time{})
+				time.Sleep(moment)
+			}
+			crashes := report(g, saw, 1)
+			knows.Merge(crashes, true)
+			answer(knows, 1, "shared", "sound")
+			answers := report(g, knows, 2)
+			time.Sleep(moment)
+			t.Merge(crashes, false)
+			t.Merge(answers, false)
+			answer(t, 50, "other")
+			time.Sleep(moment)
+			g.Expect(t.Check(request("shared", "sound"))).To(BeNil())
+		})
+	})
+
+	// Guards against a quarantine that stays with the instance that found it due.
+	It("tells of a quarantine that it finds due while it reads (rule 9)", func() {
+		inBubble(func(g *WithT) {
+			t, other := newTracker("i"), newTracker("j")
+			crash(t, 3, "shared", "bad")
+			told := false
+			t.Changed = func() { told = true }
+			t.Merge(report(g, other, 1), true)
+			g.Expect(told).To(BeTrue())
+			g.Expect(t.Check(request("bad"))).NotTo(BeNil())
 		})
 	})
 })
