quarantine: answers reach those who listed a report first, and those who quarantined meanwhile

Cause: (a) an instance's first report that was listed before the watch had it was read without its answers, and the watch's copy was left out as known. (b) A told quarantine seems later by the time that telling takes, so it beat an answer that was later in fact, and that answer wasn't told.

Change: (a) the watched copy of such a report is read; (b) a quarantine that seems to have begun at most 1 s after an own answer isn't adopted, and the answer is told, as is the next one while that quarantine lasts. The price: where an engine answered a part shortly before others quarantined it with reason, this instance goes by crashes of its own and those told later.

Tests: "is told by a report that was in a listing before it was watched" and "adopts no quarantine of a part that it saw answered meanwhile, and tells of the answer"; on the code before, both parts were refused.

--- a/quarantine/judge.go
+++ b/quarantine/judge.go
@@ -37,7 +37,8 @@
 	if !p.until.IsZero() && !at.After(p.from) {
 		return false
 	}
-	news = p.told && (!p.until.IsZero() || len(p.crashes) > 0)
+	news = p.told && (!p.until.IsZero() || len(p.crashes) > 0) || at.Before(p.disputed)
+	p.disputed = time.Time{}
 	if !p.until.IsZero() {
 		t.release(k, p, at, why)
 	}
--- a/quarantine/part.go
+++ b/quarantine/part.go
@@ -58,6 +58,9 @@
 	// answeredAt is the time of the last answer that others have to know of; zero for
 	// none.
 	answeredAt time.Time
+	// lastAnswer is the time of the last own answer. disputed is the end of a told
+	// quarantine that was not adopted because of it. Both are zero without one.
+	lastAnswer, disputed time.Time
 	// until is the end of the quarantine, since from; zero while there is none.
 	from, until time.Time
 	// own is set if this instance itself found the quarantine to be due.
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -41,7 +41,8 @@
 //     crashes count anew.
 //  9. Instances tell each other crashes, quarantines and answers (Report, Merge). A
 //     told crash counts like an own one, unless it is from a report that was written
-//     before this instance knew of it. A told quarantine is adopted as it is. A told
+//     before this instance knew of it. A told quarantine is adopted as it is, unless the
+//     part was answered here since or shortly before. A told
 //     answer is one of rule 3, at the time at which it was given.
 //  10. Everything told is bounded, in bytes, entries and time, and an entry that can't
 //     be used is ignored alone. Times are told as ages, since clocks differ; only the
@@ -245,7 +246,12 @@
 	if len(t.parts) > 0 {
 		for _, id := range req.Parts {
 			k := partKey{req.Model, id}
-			if p := t.parts[k]; p != nil && t.answered(k, p, now, "answered") {
+			p := t.parts[k]
+			if p == nil {
+				continue
+			}
+			p.lastAnswer = now
+			if t.answered(k, p, now, "answered") {
 				p.answeredAt, news = now, true
 			}
 		}
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -26,6 +26,8 @@
 	// holds.
 	crashTTL  = 30 * time.Second
 	answerTTL = 10 * time.Second
+	// maxTellTime bounds the time by which a told quarantine seems later than it was.
+	maxTellTime = time.Second
 	// reportTTL is the time without a change after which a report tells nothing more,
 	// unless it has a quarantine.
 	reportTTL = 2 * evidenceTTL
@@ -37,6 +39,8 @@
 	// changed is when the revision was first read. until is the end of the longest
 	// quarantine in it; zero without one.
 	changed, until time.Time
+	// partial is set if all but the quarantines of the revision was left out.
+	partial bool
 }
 
 // report is the JSON form of what an instance tells (rule 9). Lists are decoded entry
@@ -164,14 +168,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	seen, known := t.reports[obj.Name]
-	if known && obj.Revision <= seen.revision {
+	if known && (obj.Revision < seen.revision || obj.Revision == seen.revision && !(fresh && seen.partial)) {
 		return false
 	}
 	own := obj.Name == string(t.Self)
 	if t.reports == nil {
 		t.reports = map[string]reportState{}
 	}
-	t.reports[obj.Name] = reportState{obj.Revision, now, time.Time{}}
+	t.reports[obj.Name] = reportState{obj.Revision, now, time.Time{}, !fresh && !known}
 	if own && known {
 		return false
 	}
@@ -194,7 +198,7 @@
 	if fresh || known {
 		m.each(r.Answers, m.answer)
 	}
-	return t.judge(now) || m.withdrawn
+	return t.judge(now) || m.news
 }
 
 // Removed records that a report was removed.
@@ -230,8 +234,9 @@
 	now time.Time
 	// own is set for the report of this instance's earlier incarnation.
 	own bool
-	// withdrawn is set once something that this instance has told no longer holds.
-	withdrawn bool
+	// news is set once there is something to tell: an answer, or that an entry of this
+	// instance no longer holds.
+	news bool
 }
 
 func (m *merger) each(list []json.RawMessage, apply func(*entry)) {
@@ -274,6 +279,10 @@
 	if p == nil || !p.until.IsZero() || !e.at(m.now).After(p.since) {
 		return
 	}
+	if !p.lastAnswer.IsZero() && !e.at(m.now).Add(-maxTellTime).After(p.lastAnswer) {
+		p.answeredAt, p.disputed, m.news = p.lastAnswer, m.now.Add(d), true
+		return
+	}
 	p.own = m.own
 	m.t.quarantine(e.key(), p, m.now, d, m.obj.Name)
 }
@@ -285,5 +294,5 @@
 	}
 	before := p.ownEntries()
 	m.t.answered(e.key(), p, e.at(m.now), "answered at "+m.obj.Name)
-	m.withdrawn = m.withdrawn || p.ownEntries() < before
+	m.news = m.news || p.ownEntries() < before
 }
--- a/quarantine/sharer_test.go
+++ b/quarantine/sharer_test.go
@@ -299,6 +299,45 @@
 		})
 	})
 
+	// Guards against an answer that is lost since a listing had the report first.
+	It("is told by a report that was in a listing before it was watched (rule 9)", func() {
+		inBubble(func(g *WithT) {
+			t, other := newTracker("i"), newTracker("j")
+			crash(t, 3, "shared", "sound")
+			g.Expect(t.Check(request("sound"))).NotTo(BeNil())
+			time.Sleep(moment)
+			other.Merge(report(g, t, 1), true)
+			time.Sleep(moment)
+			answer(other, 1, "sound")
+			r := report(g, other, 2)
+			t.Merge(r, false)
+			g.Expect(t.Check(request("sound"))).NotTo(BeNil())
+			t.Merge(r, true)
+			g.Expect(t.Check(request("sound"))).To(BeNil())
+		})
+	})
+
+	// Guards against a quarantine that is adopted although the part was answered after
+	// it began, since telling of it takes time.
+	It("adopts no quarantine of a part that it saw answered meanwhile, and tells of the answer (rule 9)", func() {
+		inBubble(func(g *WithT) {
+			t, other := newTracker("i"), newTracker("j")
+			other.Crashed(request("shared", "sound"), engine(9, 1), time.Time{})
+			t.Merge(report(g, other, 1), true)
+			answer(t, 1, "sound")
+			crash(other, 3, "shared", "sound")
+			g.Expect(other.Check(request("sound"))).NotTo(BeNil())
+			told := report(g, other, 2)
+			time.Sleep(100 * time.Millisecond)
+			answer(t, 1, "sound")
+			time.Sleep(200 * time.Millisecond)
+			t.Merge(told, true)
+			g.Expect(t.Check(request("sound"))).To(BeNil())
+			other.Merge(report(g, t, 3), true)
+			g.Expect(other.Check(request("sound"))).To(BeNil())
+		})
+	})
+
 	// Guards against a quarantine that stays with the instance that found it due.
 	It("tells of a quarantine that it finds due while it reads (rule 9)", func() {
 		inBubble(func(g *WithT) {
