quarantine: a suspect is not tried right after any crash under it

Cause: crashes beyond the 32 that are kept, and those that a quarantined part explains, left the time of the last crash as it was, from which the pause before the next trial is counted.

Change: the pause counts from every crash under the part. The newest 32 crashes are kept. A sound suspect that ran beside a deadly part waits up to 2 s longer for its trial.

Tests: "is not tried right after a crash, however many there were" (before: tried right after the 34th) and "is not tried right after a crash that another part explains" (before: tried).

--- a/quarantine/part.go
+++ b/quarantine/part.go
@@ -45,8 +45,9 @@
 	crashedUnder int
 	// depth is the deepest place of the part in prompts.
 	depth int
-	// lastCrash is the time of the latest crash.
-	lastCrash time.Time
+	// lastCrash is the time of the latest crash that counted, and lastUnder that of the
+	// latest one under the part.
+	lastCrash, lastUnder time.Time
 	// suspectSince is when the part became suspect; zero if it is not.
 	suspectSince time.Time
 	// trial is the request that tries the part, since trialStart; empty for none.
@@ -73,7 +74,7 @@
 
 // mayTry reports whether a request may try the part (rule 6).
 func (p *part) mayTry(now time.Time) bool {
-	return now.Sub(p.lastCrash) >= trialPause && (p.trial == "" || now.Sub(p.trialStart) >= trialTime)
+	return now.Sub(p.lastUnder) >= trialPause && (p.trial == "" || now.Sub(p.trialStart) >= trialTime)
 }
 
 // forget drops the crashes up to at, which no longer count.
@@ -98,6 +99,19 @@
 	}
 }
 
+// dropBefore drops the oldest crash, if it is older than at.
+func (p *part) dropBefore(at time.Time) bool {
+	var oldest crashID
+	first := at
+	for id, c := range p.crashes {
+		if c.at.Before(first) {
+			oldest, first = id, c.at
+		}
+	}
+	delete(p.crashes, oldest)
+	return first.Before(at)
+}
+
 // firstCrash returns the time of the first crash that counts, or now without one.
 func (p *part) firstCrash(now time.Time) time.Time {
 	for _, c := range p.crashes {
@@ -187,6 +201,9 @@
 	} else {
 		p.told = true
 	}
+	if c.at.After(p.lastUnder) {
+		p.lastUnder = c.at
+	}
 	if p.until.IsZero() && t.explained(k.model, id) {
 		return
 	}
@@ -195,7 +212,10 @@
 	if known {
 		c = crash{earlier(c.at, old.at), old.moment, c.own || old.own, c.depth}
 	}
-	if !c.at.After(p.since) || now.Sub(c.at) > evidenceTTL || !known && len(p.crashes) >= maxCrashes {
+	if !c.at.After(p.since) || now.Sub(c.at) > evidenceTTL {
+		return
+	}
+	if !known && len(p.crashes) >= maxCrashes && !p.dropBefore(c.at) {
 		return
 	}
 	if len(p.crashes) == 0 {
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -417,4 +417,38 @@
 			g.Expect(t.Begin(request("part"))).NotTo(BeNil())
 		})
 	})
+
+	// Guards against trials that follow each other without a pause since so many crashes
+	// count already.
+	It("is not tried right after a crash, however many there were (rule 6)", func() {
+		inBubble(func(g *WithT) {
+			t := newTracker("i")
+			for n := range 40 {
+				t.Crashed(request("part"), engine(n, 1), time.Time{})
+				g.Expect(n < 3 || t.Begin(request("part")) != nil).To(BeTrue(), "crash %d", n+1)
+				time.Sleep(moment)
+			}
+		})
+	})
+
+	// Guards against trials without a pause of a part whose crashes another explains.
+	It("is not tried right after a crash that another part explains (rule 6)", func() {
+		inBubble(func(g *WithT) {
+			t := newTracker("i")
+			for n := range 3 {
+				t.Crashed(request("suspect"), engine(n, 1), time.Time{})
+				time.Sleep(moment)
+			}
+			other := request("suspect")
+			for n := range 4 {
+				t.Crashed(request("shared", "bad"), engine(10+n, 1), time.Time{})
+				time.Sleep(moment)
+			}
+			answer(t, 5, "shared", "other")
+			g.Expect(t.Check(request("bad"))).NotTo(BeNil())
+			time.Sleep(2 * moment)
+			t.Crashed(other, engine(13, 1), time.Time{})
+			g.Expect(t.Begin(request("suspect"))).NotTo(BeNil())
+		})
+	})
 })
