dispatch: an engine that was to end has not crashed

Cause: an engine that no longer listens after a connection broke counted as crashed, whatever its record said.

Change: not if the record is gone, or says that the engine is draining or leaving. The price: a crash by a deadly part isn't noticed at an engine that is draining, which gets no new requests.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -98,6 +98,10 @@
 	e := &w.call.Placement.Endpoint
 	switch {
 	case w.probes.refused(ctx, w.Network, e):
+		if r := w.Directory.Roster().Endpoint(e.ID); r == nil || r.State == hbs.StateDraining || r.State == hbs.StateLeaving {
+			// It was to end.
+			return
+		}
 		res.Crashed = true
 		res.NoRetry = !w.Crashes.Crashed(w.req, e, w.connected)
 	case answered:
--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -157,6 +157,30 @@
 		})
 	})
 
+	// Guards against parts that are blamed for engines that are shut down as planned
+	// before their requests have ended.
+	It("has not crashed if its record says that it was to end, or is gone (rule 7)", func() {
+		for _, gone := range []bool{false, true} {
+			runInEnv(func(env *testEnv) {
+				var n atomic.Int64
+				env.addAnsweringEngine("", func() bool {
+					if gone {
+						env.placer.endpoints = nil
+					} else {
+						env.placer.endpoints[0].State = hbs.StateDraining
+					}
+					return true
+				}, &n)
+				w := &crashWatch{}
+				env.d.Crashes = w
+				_, err := env.d.Serve(env.ctx, chatRequest(5), nil, &sink{})
+				env.Expect(err).To(HaveOccurred())
+				env.Expect(n.Load()).To(BeNumerically(">", 0))
+				env.Expect(w.crashed).To(BeZero())
+			})
+		}
+	})
+
 	// Guards against a request that was queued while its part became known.
 	It("gets no request that is refused right before it is sent (rule 7)", func() {
 		runInEnv(func(env *testEnv) {
