quarantine: a told quarantine lasts no longer than an own one would

Cause: the end of a told quarantine was bounded by the longest one that there is.

Change: it is bounded by quarantine.duration, doubled for each quarantine of the part that this instance knows of. The price: an instance that knows fewer of them than the one that tells lets requests with the part try again earlier.

Test: "adopts quarantines for no longer than it would quarantine the part itself": before, the part was refused after the time of the first quarantine too.

--- a/quarantine/judge.go
+++ b/quarantine/judge.go
@@ -80,16 +80,21 @@
 		if p == nil {
 			return news
 		}
-		d := t.Policy.Duration(KnobDuration, hbs.Scope{Model: k.model})
-		for range p.offences {
-			d = min(2*d, maxDuration)
-		}
 		p.own, news = true, true
-		t.quarantine(k, p, now, min(d, maxDuration), "")
+		t.quarantine(k, p, now, t.duration(k, p), "")
 	}
 	return news
 }
 
+// duration returns how long a quarantine of a part that begins now lasts (rule 8).
+func (t *Tracker) duration(k partKey, p *part) time.Duration {
+	d := t.Policy.Duration(KnobDuration, hbs.Scope{Model: k.model})
+	for range p.offences {
+		d = min(2*d, maxDuration)
+	}
+	return min(d, maxDuration)
+}
+
 // settle judges suspects. It reports whether there is something to tell.
 func (t *Tracker) settle() bool {
 	t.mu.Lock()
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -41,9 +41,9 @@
 //     crashes count anew.
 //  9. Instances tell each other crashes, quarantines and answers (Report, Merge). A
 //     told crash counts like an own one, unless it is from a report that was written
-//     before this instance knew of it. A told quarantine is adopted as it is, unless the
-//     part was answered here since or shortly before. A told
-//     answer is one of rule 3, at the time at which it was given.
+//     before this instance knew of it. A told quarantine is adopted, for no
+//     longer than an own one would last, unless the part was answered here since or
+//     shortly before. A told answer is one of rule 3, at the time at which it was given.
 //  10. Everything told is bounded, in bytes, entries and time, and an entry that can't
 //     be used is ignored alone. Times are told as ages, since clocks differ; only the
 //     end of a quarantine is a time of day, and it is bounded by maxDuration.
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -284,7 +284,7 @@
 		return
 	}
 	p.own = m.own
-	m.t.quarantine(e.key(), p, m.now, d, m.obj.Name)
+	m.t.quarantine(e.key(), p, m.now, min(d, m.t.duration(e.key(), p)), m.obj.Name)
 }
 
 func (m *merger) answer(e *entry) {
--- a/quarantine/sharer_test.go
+++ b/quarantine/sharer_test.go
@@ -338,6 +338,19 @@
 		})
 	})
 
+	// Guards against one writer of the store who quarantines many parts for hours.
+	It("adopts quarantines for no longer than it would quarantine the part itself (rules 8 and 9)", func() {
+		inBubble(func(g *WithT) {
+			t := newTracker("i")
+			until := time.Now().Add(3 * time.Hour).UnixMilli()
+			value := fmt.Sprintf(`{"quarantines":[{"model":"m","part":"sound","until_ms":%d}]}`, until)
+			t.Merge(&hbs.Object{Kind: quarantine.Kind, Name: "odd", Revision: 1, Value: []byte(value)}, true)
+			g.Expect(t.Check(request("sound"))).NotTo(BeNil())
+			time.Sleep(firstQuarantine + moment)
+			g.Expect(t.Check(request("sound"))).To(BeNil())
+		})
+	})
+
 	// Guards against a quarantine that stays with the instance that found it due.
 	It("tells of a quarantine that it finds due while it reads (rule 9)", func() {
 		inBubble(func(g *WithT) {
