quarantine: a verdict needs crashes that chance doesn't explain, and counts no request twice

Cause: a part's crashes were weighed with the share of other requests that were answered. The requests that were at the same engines counted as crashed under, so with many of them nobody was blamed. And three crashes were enough when six of ten others were answered: by chance one in sixteen parts has them.

Change: what ended in the part's own crashes is left out. From the share of the rest that crashed follows the chance of the part's crashes; a part is blamed at 1e-4 or less. Of no crash so far half of one counts (Jeffreys prior).

Tests: "that is deadly is blamed in time although each crash takes many other requests with it" (before: not blamed) and "is not blamed for three crashes while engines crash under one in three of the others" (before: blamed). "Tell one that starts later nothing by answers of long ago" let only the instance that started have answers after the last crash; ten answers with three crashes are now too few by a hair (1.1e-4), so all instances have them.

--- a/quarantine/judge.go
+++ b/quarantine/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -107,12 +108,12 @@
 	for k, p := range t.suspects {
 		p.expire(now)
 		n, enough := t.distinctCrashes(p), t.enough(k.model)
-		answered, share := p.others(t.balance(k.model))
+		answered, share := t.others(k, p)
 		switch {
 		case n < enough:
 			t.suspect(k, p, now)
 		case now.Sub(p.suspectSince) < settleTime, now.Sub(p.lastCrash) < settleTime:
-		case answered < n, float64(n)*share < minEvidence*float64(enough), t.allExplained(k, p), t.outweighed(k, p):
+		case answered < n, math.Pow(1-share, float64(n)) > maxChance, t.allExplained(k, p), t.outweighed(k, p):
 		case blamed == nil || p.compare(blamed) > 0 || p.compare(blamed) == 0 && k.id < most.id:
 			most, blamed = k, p
 		}
@@ -166,7 +167,7 @@
 	}
 	slices.Sort(engines)
 	p.offences++
-	answered, share := p.others(t.balance(k.model))
+	answered, share := t.others(k, p)
 	t.log().Warn("part quarantined", zap.String("model", string(k.model)), zap.String("part", string(k.id)),
 		zap.Int("crashes", len(engines)), zap.Int("distinct", t.distinctCrashes(p)), zap.Int("others_answered", answered), zap.Float64("share_answered", share),
 		zap.Strings("engines", engines), zap.Duration("first_crash", now.Sub(p.firstCrash(now))),
--- a/quarantine/part.go
+++ b/quarantine/part.go
@@ -39,10 +39,8 @@
 	// since is the time of the last answer or the end of the last quarantine; zero
 	// without either.
 	since time.Time
-	// before is the balance of the model at the first crash, and crashedUnder the
-	// number of own attempts with the part under which an engine crashed since.
-	before       balance
-	crashedUnder int
+	// before is the balance of the model before the first crash.
+	before balance
 	// depth is the deepest place of the part in prompts.
 	depth int
 	// lastCrash is the time of the latest crash that counted, and lastUnder that of the
@@ -120,13 +118,20 @@
 	return now
 }
 
-// others returns how many attempts without the part were answered since its first
-// crash, and their share of those that were answered or crashed under, with
-// priorCrashed more of the latter.
-func (p *part) others(b balance) (answered int, share float64) {
+// others returns how many attempts were answered since a part's first crash, and their
+// share of those that were answered or ended by other crashes than the part's, with
+// priorCrashed more of the latter. What a part's own crashes ended tells nothing: a
+// part that crashes engines takes others with it.
+func (t *Tracker) others(k partKey, p *part) (answered int, share float64) {
+	b := t.balance(k.model)
 	answered = b.answered - p.before.answered
-	crashed := max(b.crashed-p.before.crashed-p.crashedUnder, 0)
-	return answered, float64(answered) / float64(answered+crashed+priorCrashed)
+	crashed := b.crashed - p.before.crashed
+	for _, m := range t.moments {
+		if _, ok := p.crashes[m.id]; ok {
+			crashed -= m.broken
+		}
+	}
+	return answered, float64(answered) / (float64(answered+max(crashed, 0)) + priorCrashed)
 }
 
 // idle reports whether nothing of a part is of use any more.
@@ -196,9 +201,7 @@
 	if p == nil {
 		return
 	}
-	if c.own {
-		p.crashedUnder++
-	} else {
+	if !c.own {
 		p.told = true
 	}
 	if c.at.After(p.lastUnder) {
@@ -219,11 +222,10 @@
 		return
 	}
 	if len(p.crashes) == 0 {
-		p.before, p.crashedUnder = t.balances[k.model].at(c.at), 0
+		p.before = t.balances[k.model].at(c.at)
 		if c.own {
 			p.before = t.balance(k.model)
-			p.before.crashed--
-			p.crashedUnder = 1
+			p.before.crashed -= t.brokenBy(id)
 		}
 	}
 	p.crashes[id] = c
@@ -294,6 +296,20 @@
 	return id
 }
 
+// broke counts an own attempt that a crash ended, and brokenBy returns their number.
+func (t *Tracker) broke(id crashID) {
+	if i := slices.IndexFunc(t.moments, func(m moment) bool { return m.id == id }); i >= 0 {
+		t.moments[i].broken++
+	}
+}
+
+func (t *Tracker) brokenBy(id crashID) int {
+	if i := slices.IndexFunc(t.moments, func(m moment) bool { return m.id == id }); i >= 0 {
+		return t.moments[i].broken
+	}
+	return 0
+}
+
 // addMoment records the time of a crash, unless it is known. It returns the recorded
 // time.
 func (t *Tracker) addMoment(id crashID, at, now time.Time) time.Time {
@@ -305,6 +321,6 @@
 	if i := slices.IndexFunc(t.moments, func(m moment) bool { return m.id == id }); i >= 0 {
 		return t.moments[i].at
 	}
-	t.moments = slices.Insert(t.moments, t.firstMoment(at), moment{at, id})
+	t.moments = slices.Insert(t.moments, t.firstMoment(at), moment{at: at, id: id})
 	return at
 }
--- a/quarantine/play_test.go
+++ b/quarantine/play_test.go
@@ -1,6 +1,7 @@
 package quarantine_test
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -26,6 +27,7 @@
 	requestInterval = 10 * time.Millisecond
 	answerTime      = 150 * time.Millisecond
 	deadlyTime      = 120 * time.Millisecond
+	longAnswerTime  = 700 * time.Millisecond
 	// tellInterval is the time between two reports of an instance.
 	tellInterval = 300 * time.Millisecond
 	// Requests have one of hotParts and one of rareParts.
@@ -50,6 +52,8 @@
 	// a hot one if deadlyFirst is set.
 	share       float64
 	deadlyFirst bool
+	// answerTime is the time to the second event of an answer; 0 means the usual one.
+	answerTime time.Duration
 	// alone means that instances tell each other nothing.
 	alone bool
 }
@@ -140,7 +144,7 @@
 		if slices.ContainsFunc(f.work[e], func(s sent) bool { return s.deadly() && now.Sub(s.at) > deadlyTime }) {
 			f.end(e, now)
 		}
-		for len(f.work[e]) > 0 && now.Sub(f.work[e][0].at) > answerTime {
+		for len(f.work[e]) > 0 && now.Sub(f.work[e][0].at) > cmp.Or(f.answerTime, answerTime) {
 			s := f.work[e][0]
 			s.by.Answered(s.req)
 			s.by.End(s.req)
@@ -228,6 +232,7 @@
 		return time.Duration(r.ExpFloat64() * float64(time.Second))
 	}, engines: 1}),
 	Entry("engines crash in quick succession, and the store is away", day{crash: every(300 * time.Millisecond), engines: 1, alone: true}),
+	Entry("engines crash, and answers take long", day{crash: every(time.Second), engines: 1, answerTime: longAnswerTime}),
 	Entry("half of the engines crash, again and again", day{crash: every(4 * time.Second), engines: playedEngines / 2}),
 	Entry("all engines crash, again and again", day{crash: every(4 * time.Second), engines: playedEngines}),
 	Entry("all engines crash as soon as they are back", day{crash: every(downTime + 100*time.Millisecond), engines: playedEngines}),
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -18,10 +18,11 @@
 //  3. An answer to a request proves its parts sound. All crashes before it no longer
 //     count against them.
 //  4. A part against which quarantine.crashes crashes count is suspect. A suspect is
-//     blamed if its crashes, times the share of the other requests for the model that
-//     were answered meanwhile (of those answered or crashed under, and priorCrashed
-//     more), are minEvidence of quarantine.crashes, and there were at least as many
-//     answers as crashes. So while engines crash under everybody, no part is blamed.
+//     blamed if the chance of its crashes would be maxChance at most, were it as likely
+//     to meet one as the other requests for the model were meanwhile, and there were
+//     at least as many answers as crashes. Requests that ended in the part's own
+//     crashes tell nothing, as a part that crashes engines takes others with it. So
+//     while engines crash under everybody, no part is blamed.
 //  5. A suspect is quarantined settleTime after it became one and after its last
 //     crash, when what other instances saw is known too. Of several that are to blame
 //     the one with the most crashes is first; one waits while another part was at all
@@ -66,10 +67,12 @@
 	// minExplained is the share of the engines that crashed at the same moment under a
 	// part which makes the crash count against it.
 	minExplained = 1.0 / 3
-	// minEvidence is the share of quarantine.crashes that has to remain when a part's
-	// crashes are weighed with the share of other requests that were answered.
-	minEvidence  = 0.6
-	priorCrashed = 3
+	// maxChance is the greatest chance with which a blamed part's crashes may have
+	// come about if engines crashed under it as often as under others.
+	maxChance = 1e-4
+	// priorCrashed is the number of other requests that count as crashed under before
+	// one was (half of one: the Jeffreys prior).
+	priorCrashed = 0.5
 	// settleTime is the time in which an instance hears of what the others saw.
 	settleTime = 500 * time.Millisecond
 	// trialPause is the time from a crash to the next trial of a suspect part, in
@@ -121,6 +124,8 @@
 type moment struct {
 	at time.Time
 	id crashID
+	// broken is the number of own attempts that the crash ended.
+	broken int
 }
 
 var _ hbs.CrashWatch = (*Tracker)(nil)
@@ -211,6 +216,7 @@
 	id := t.crashOf(e, connected)
 	t.add(req.Model, balance{crashed: 1}, now)
 	known := t.addMoment(id, now, now)
+	t.broke(id)
 	for i, name := range req.Parts {
 		names[i] = string(name)
 		t.addCrash(partKey{req.Model, name}, id, crash{now, known, true, i}, now)
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -355,6 +355,43 @@
 		})
 	})
 
+	// Guards against a deadly part that is known late, since each engine that it crashes
+	// takes many other requests with it.
+	It("that is deadly is blamed in time although each crash takes many other requests with it (rule 4)", func() {
+		inBubble(func(g *WithT) {
+			t := newTracker("i")
+			for n := range 4 {
+				for i := range 40 {
+					t.Crashed(request("shared", hbs.PartID(fmt.Sprint("other", n, i))), engine(n, 1), time.Time{})
+					if i == 20 {
+						t.Crashed(request("shared", "bad"), engine(n, 1), time.Time{})
+					}
+				}
+				answer(t, 10, "shared", "third")
+				time.Sleep(moment)
+			}
+			g.Expect(t.Check(request("bad"))).NotTo(BeNil())
+		})
+	})
+
+	// Guards against parts that are blamed since three of their requests, of as many,
+	// happened to be at engines that crash for other reasons.
+	It("is not blamed for three crashes while engines crash under one in three of the others (rule 4)", func() {
+		inBubble(func(g *WithT) {
+			t := newTracker("i")
+			for n := range 3 {
+				t.Crashed(request("part"), engine(2*n, 1), time.Time{})
+				time.Sleep(moment)
+				for range 8 {
+					t.Crashed(request("other"), engine(2*n+1, 1), time.Time{})
+				}
+				answer(t, 20, "other")
+				time.Sleep(moment)
+			}
+			g.Expect(t.Check(request("part"))).To(BeNil())
+		})
+	})
+
 	// Guards against parts that are blamed when the first few answers after a long
 	// failure happen to be to others.
 	It("is not blamed after fewer answers than crashes (rule 4)", func() {
--- a/quarantine/sharer_test.go
+++ b/quarantine/sharer_test.go
@@ -172,7 +172,9 @@
 			late := s.start("late")
 			time.Sleep(shareTime)
 			late.Crashed(request("shared", "bad"), engine(3, 1), time.Time{})
-			answer(late, 5, "shared", "other")
+			for _, t := range s.trackers {
+				answer(t, 5, "shared", "other")
+			}
 			time.Sleep(shareTime)
 			s.Expect(late.Check(request("bad"))).NotTo(BeNil())
 		})
