quarantine: a spec of its own for answers of long ago

Test: "is told nothing by answers of long ago, and counts its crashes on", which fails if the answers of reports that are new in a listing are read (trial).

--- a/quarantine/sharer_test.go
+++ b/quarantine/sharer_test.go
@@ -301,6 +301,25 @@
 		})
 	})
 
+	// Guards against an answer of before the crashes that seems to be later than they,
+	// as its age was written down long ago.
+	It("is told nothing by answers of long ago, and counts its crashes on (rule 9)", func() {
+		inBubble(func(g *WithT) {
+			t, other := newTracker("i"), newTracker("j")
+			other.Crashed(request("shared", "bad"), engine(9, 1), time.Time{})
+			report(g, other, 1)
+			answer(other, 1, "shared", "bad")
+			answers := report(g, other, 2)
+			g.Expect(string(answers.Value)).To(ContainSubstring("answers"))
+			crash(t, 2, "shared", "bad")
+			t.Merge(answers, false)
+			t.Crashed(request("shared", "bad"), engine(2, 1), time.Time{})
+			answer(t, 5, "shared", "other")
+			time.Sleep(moment)
+			g.Expect(t.Check(request("bad"))).NotTo(BeNil())
+		})
+	})
+
 	// Guards against an answer that is lost since a listing had the report first.
 	It("is told by a report that was in a listing before it was watched (rule 9)", func() {
 		inBubble(func(g *WithT) {
