quarantine: a suspect is not forgotten for other parts

Cause: with no room the part whose last crash is the oldest was removed, also a suspect, one at a time.

Change: suspects stay, as quarantined parts do; the 256 oldest others are removed at once.

Test: "stays suspect when there are more parts than are tracked": before, the part was not refused. The time under the lock was not measured.

--- a/quarantine/part.go
+++ b/quarantine/part.go
@@ -181,18 +181,20 @@
 	return p
 }
 
-// evict removes the part whose last crash is the oldest and that is not quarantined.
+// evict removes the evicted parts whose last crashes are the oldest, of those that are
+// neither quarantined nor suspect. It reports whether there was one.
 func (t *Tracker) evict() bool {
-	var oldest partKey
-	found := false
+	var keys []partKey
 	for k, p := range t.parts {
-		if p.until.IsZero() && (!found || p.touched.Before(t.parts[oldest].touched)) {
-			oldest, found = k, true
+		if p.until.IsZero() && t.suspects[k] == nil {
+			keys = append(keys, k)
 		}
 	}
-	delete(t.parts, oldest)
-	delete(t.suspects, oldest)
-	return found
+	slices.SortFunc(keys, func(a, b partKey) int { return t.parts[a].touched.Compare(t.parts[b].touched) })
+	for _, k := range keys[:min(len(keys), evicted)] {
+		delete(t.parts, k)
+	}
+	return len(keys) > 0
 }
 
 // addCrash adds a crash that counts against a part, unless it is too old.
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -87,9 +87,10 @@
 	// maxRetryAfter bounds the time after which a caller may ask again: an answer
 	// elsewhere may end a quarantine early.
 	maxRetryAfter = time.Minute
-	// maxParts bounds the parts that are tracked, and maxCrashes the crashes that
-	// count against one.
+	// maxParts bounds the parts that are tracked, of which evicted are removed at once,
+	// and maxCrashes the crashes that count against one.
 	maxParts   = 2048
+	evicted    = 256
 	maxCrashes = 32
 	// maxMoments bounds the crashes of which the time is kept.
 	maxMoments = 1024
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -145,6 +145,26 @@
 		})
 	})
 
+	// Guards against a caller whose prompts have so many parts that a suspect is
+	// forgotten.
+	It("stays suspect when there are more parts than are tracked", func() {
+		inBubble(func(g *WithT) {
+			t := newTracker("i")
+			for n := range 3 {
+				t.Crashed(request("bad"), engine(n, 1), time.Time{})
+				time.Sleep(moment)
+			}
+			var many []hbs.PartID
+			for i := range 5000 {
+				many = append(many, hbs.PartID(fmt.Sprint("many", i)))
+			}
+			t.Crashed(request(many...), engine(9, 1), time.Time{})
+			time.Sleep(moment)
+			answer(t, 100, "other")
+			g.Expect(t.Check(request("bad"))).NotTo(BeNil())
+		})
+	})
+
 	// Guards against a quarantine that never ends, and one that ends again and again
 	// while engines still crash.
 	It("is free after the quarantine, twice as late the next time (rule 8)", func() {
