--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -58,6 +59,12 @@
 // addBreakingEngine adds an engine that closes the connection of each request without
 // an answer, and with crash set stops listening before. taken counts the requests.
 func (env *testEnv) addBreakingEngine(crash bool, taken *atomic.Int64) {
+	env.addAnsweringEngine("", func() bool { return crash }, taken)
+}
+
+// addAnsweringEngine adds an engine that writes an answer to each request before it
+// closes the connection. crash reports whether it stops listening before.
+func (env *testEnv) addAnsweringEngine(answer string, crash func() bool, taken *atomic.Int64) {
 	e := hbs.Endpoint{ID: hbs.EndpointID(env.address().String()), Kind: hbs.KindEngine, Model: "m", State: hbs.StateLive, Slots: 10}
 	e.Address = env.address()
 	env.placer.endpoints = append(env.placer.endpoints, e)
@@ -79,7 +86,8 @@
 					return
 				}
 				taken.Add(1)
-				if crash {
+				_, _ = io.WriteString(conn, answer)
+				if crash() {
 					_ = l.Close()
 				}
 			})
@@ -132,6 +140,47 @@
 		})
 	})
 
+	// Guards against a crash that is not noticed as the engine was found listening
+	// shortly before.
+	It("has crashed if it no longer listens, although it did 100 ms before (rule 7)", func() {
+		runInEnv(func(env *testEnv) {
+			var n atomic.Int64
+			env.addAnsweringEngine("", func() bool { return n.Load() > 1 }, &n)
+			w := &crashWatch{}
+			env.d.Crashes = w
+			for crashes := range 2 {
+				_, err := env.d.Serve(env.ctx, chatRequest(5), nil, &sink{})
+				env.Expect(err).To(HaveOccurred())
+				env.Expect(w.crashed).To(Equal(crashes))
+				time.Sleep(100 * time.Millisecond)
+			}
+		})
+	})
+
+	// Guards against parts that are blamed for engines that are shut down as planned
+	// before their requests have ended.
+	It("has not crashed if its record says that it was to end, or is gone (rule 7)", func() {
+		for _, gone := range []bool{false, true} {
+			runInEnv(func(env *testEnv) {
+				var n atomic.Int64
+				env.addAnsweringEngine("", func() bool {
+					if gone {
+						env.placer.endpoints = nil
+					} else {
+						env.placer.endpoints[0].State = hbs.StateDraining
+					}
+					return true
+				}, &n)
+				w := &crashWatch{}
+				env.d.Crashes = w
+				_, err := env.d.Serve(env.ctx, chatRequest(5), nil, &sink{})
+				env.Expect(err).To(HaveOccurred())
+				env.Expect(n.Load()).To(BeNumerically(">", 0))
+				env.Expect(w.crashed).To(BeZero())
+			})
+		}
+	})
+
 	// Guards against a request that was queued while its part became known.
 	It("gets no request that is refused right before it is sent (rule 7)", func() {
 		runInEnv(func(env *testEnv) {
@@ -140,3 +189,43 @@
 		})
 	})
 })
+
+// Guards against a part that is taken for sound because the engine crashed in an answer
+// that ends with its connection.
+var _ = DescribeTable("a response that ends with its connection is an answer only if the engine still listens (rule 7)",
+	func(stream bool, rest string) {
+		for _, crash := range []bool{true, false} {
+			runInEnv(func(env *testEnv) {
+				var n atomic.Int64
+				env.addAnsweringEngine("HTTP/1.1 200 OK\r\n"+rest, func() bool { return crash }, &n)
+				w := &crashWatch{final: true}
+				env.d.Crashes = w
+				q := chatRequest(5)
+				q.Stream = stream
+				_, err := env.d.Serve(env.ctx, q, nil, &sink{})
+				env.Expect(err).NotTo(HaveOccurred())
+				env.Expect(w.crashed == 1).To(Equal(crash), "crashes: %d", w.crashed)
+				env.Expect(w.answered == 1).To(Equal(!crash), "answers: %d", w.answered)
+				env.Expect(n.Load()).To(BeEquivalentTo(1))
+			})
+		}
+	},
+	Entry("an empty body", false, "\r\n"),
+	Entry("half a body", false, "\r\nhalf a bo"),
+)
+
+// Guards against more dials than are needed to tell crashes.
+var _ = It("a response with a length is an answer, whatever happens to its engine (rule 7)", func() {
+	runInEnv(func(env *testEnv) {
+		var n atomic.Int64
+		env.addAnsweringEngine("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", func() bool { return true }, &n)
+		w := &crashWatch{}
+		env.d.Crashes = w
+		q := chatRequest(5)
+		q.Stream = false
+		_, err := env.d.Serve(env.ctx, q, nil, &sink{})
+		env.Expect(err).NotTo(HaveOccurred())
+		env.Expect(w.crashed).To(BeZero())
+		env.Expect(w.answered).To(Equal(1))
+	})
+})
--- a/quarantine/judge.go
+++ b/quarantine/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -37,7 +38,8 @@
 	if !p.until.IsZero() && !at.After(p.from) {
 		return false
 	}
-	news = p.told && (!p.until.IsZero() || len(p.crashes) > 0)
+	news = p.told && (!p.until.IsZero() || len(p.crashes) > 0) || at.Before(p.disputed)
+	p.disputed = time.Time{}
 	if !p.until.IsZero() {
 		t.release(k, p, at, why)
 	}
@@ -79,16 +81,21 @@
 		if p == nil {
 			return news
 		}
-		d := t.Policy.Duration(KnobDuration, hbs.Scope{Model: k.model})
-		for range p.offences {
-			d = min(2*d, maxDuration)
-		}
 		p.own, news = true, true
-		t.quarantine(k, p, now, min(d, maxDuration), "")
+		t.quarantine(k, p, now, t.duration(k, p), "")
 	}
 	return news
 }
 
+// duration returns how long a quarantine of a part that begins now lasts (rule 8).
+func (t *Tracker) duration(k partKey, p *part) time.Duration {
+	d := t.Policy.Duration(KnobDuration, hbs.Scope{Model: k.model})
+	for range p.offences {
+		d = min(2*d, maxDuration)
+	}
+	return min(d, maxDuration)
+}
+
 // settle judges suspects. It reports whether there is something to tell.
 func (t *Tracker) settle() bool {
 	t.mu.Lock()
@@ -101,12 +108,12 @@
 	for k, p := range t.suspects {
 		p.expire(now)
 		n, enough := t.distinctCrashes(p), t.enough(k.model)
-		answered, share := p.others(t.balance(k.model))
+		answered, share := t.others(k, p)
 		switch {
 		case n < enough:
 			t.suspect(k, p, now)
 		case now.Sub(p.suspectSince) < settleTime, now.Sub(p.lastCrash) < settleTime:
-		case answered < n, float64(n)*share < minEvidence*float64(enough), t.allExplained(k, p), t.outweighed(k, p):
+		case answered < n, math.Pow(1-share, float64(n)) > maxChance, t.allExplained(k, p), t.outweighed(k, p):
 		case blamed == nil || p.compare(blamed) > 0 || p.compare(blamed) == 0 && k.id < most.id:
 			most, blamed = k, p
 		}
@@ -160,7 +167,7 @@
 	}
 	slices.Sort(engines)
 	p.offences++
-	answered, share := p.others(t.balance(k.model))
+	answered, share := t.others(k, p)
 	t.log().Warn("part quarantined", zap.String("model", string(k.model)), zap.String("part", string(k.id)),
 		zap.Int("crashes", len(engines)), zap.Int("distinct", t.distinctCrashes(p)), zap.Int("others_answered", answered), zap.Float64("share_answered", share),
 		zap.Strings("engines", engines), zap.Duration("first_crash", now.Sub(p.firstCrash(now))),
--- a/quarantine/part.go
+++ b/quarantine/part.go
@@ -23,7 +23,9 @@
 
 // crash is a crash that counts against a part.
 type crash struct {
-	at time.Time
+	// at is when it was seen, and moment the time in moments, which others may have
+	// told.
+	at, moment time.Time
 	// own is set if this instance saw it.
 	own bool
 	// depth is the place of the part in the prompt, from 0.
@@ -37,14 +39,13 @@
 	// since is the time of the last answer or the end of the last quarantine; zero
 	// without either.
 	since time.Time
-	// before is the balance of the model at the first crash, and crashedUnder the
-	// number of own attempts with the part under which an engine crashed since.
-	before       balance
-	crashedUnder int
+	// before is the balance of the model before the first crash.
+	before balance
 	// depth is the deepest place of the part in prompts.
 	depth int
-	// lastCrash is the time of the latest crash.
-	lastCrash time.Time
+	// lastCrash is the time of the latest crash that counted, and lastUnder that of the
+	// latest one under the part.
+	lastCrash, lastUnder time.Time
 	// suspectSince is when the part became suspect; zero if it is not.
 	suspectSince time.Time
 	// trial is the request that tries the part, since trialStart; empty for none.
@@ -56,6 +57,9 @@
 	// answeredAt is the time of the last answer that others have to know of; zero for
 	// none.
 	answeredAt time.Time
+	// lastAnswer is the time of the last own answer. disputed is the end of a told
+	// quarantine that was not adopted because of it. Both are zero without one.
+	lastAnswer, disputed time.Time
 	// until is the end of the quarantine, since from; zero while there is none.
 	from, until time.Time
 	// own is set if this instance itself found the quarantine to be due.
@@ -68,7 +72,7 @@
 
 // mayTry reports whether a request may try the part (rule 6).
 func (p *part) mayTry(now time.Time) bool {
-	return now.Sub(p.lastCrash) >= trialPause && (p.trial == "" || now.Sub(p.trialStart) >= trialTime)
+	return now.Sub(p.lastUnder) >= trialPause && (p.trial == "" || now.Sub(p.trialStart) >= trialTime)
 }
 
 // forget drops the crashes up to at, which no longer count.
@@ -93,6 +97,19 @@
 	}
 }
 
+// dropBefore drops the oldest crash, if it is older than at.
+func (p *part) dropBefore(at time.Time) bool {
+	var oldest crashID
+	first := at
+	for id, c := range p.crashes {
+		if c.at.Before(first) {
+			oldest, first = id, c.at
+		}
+	}
+	delete(p.crashes, oldest)
+	return first.Before(at)
+}
+
 // firstCrash returns the time of the first crash that counts, or now without one.
 func (p *part) firstCrash(now time.Time) time.Time {
 	for _, c := range p.crashes {
@@ -101,13 +118,20 @@
 	return now
 }
 
-// others returns how many attempts without the part were answered since its first
-// crash, and their share of those that were answered or crashed under, with
-// priorCrashed more of the latter.
-func (p *part) others(b balance) (answered int, share float64) {
+// others returns how many attempts were answered since a part's first crash, and their
+// share of those that were answered or ended by other crashes than the part's, with
+// priorCrashed more of the latter. What a part's own crashes ended tells nothing: a
+// part that crashes engines takes others with it.
+func (t *Tracker) others(k partKey, p *part) (answered int, share float64) {
+	b := t.balance(k.model)
 	answered = b.answered - p.before.answered
-	crashed := max(b.crashed-p.before.crashed-p.crashedUnder, 0)
-	return answered, float64(answered) / float64(answered+crashed+priorCrashed)
+	crashed := b.crashed - p.before.crashed
+	for _, m := range t.moments {
+		if _, ok := p.crashes[m.id]; ok {
+			crashed -= m.broken
+		}
+	}
+	return answered, float64(answered) / (float64(answered+max(crashed, 0)) + priorCrashed)
 }
 
 // idle reports whether nothing of a part is of use any more.
@@ -119,6 +143,20 @@
 	return len(p.crashes) == 0
 }
 
+// ownEntries returns the number of entries that the instance's report has of a part,
+// other than answers.
+func (p *part) ownEntries() (n int) {
+	if p.own {
+		n++
+	}
+	for _, c := range p.crashes {
+		if c.own {
+			n++
+		}
+	}
+	return n
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
@@ -143,18 +181,20 @@
 	return p
 }
 
-// evict removes the part whose last crash is the oldest and that is not quarantined.
+// evict removes the evicted parts whose last crashes are the oldest, of those that are
+// neither quarantined nor suspect. It reports whether there was one.
 func (t *Tracker) evict() bool {
-	var oldest partKey
-	found := false
+	var keys []partKey
 	for k, p := range t.parts {
-		if p.until.IsZero() && (!found || p.touched.Before(t.parts[oldest].touched)) {
-			oldest, found = k, true
+		if p.until.IsZero() && t.suspects[k] == nil {
+			keys = append(keys, k)
 		}
 	}
-	delete(t.parts, oldest)
-	delete(t.suspects, oldest)
-	return found
+	slices.SortFunc(keys, func(a, b partKey) int { return t.parts[a].touched.Compare(t.parts[b].touched) })
+	for _, k := range keys[:min(len(keys), evicted)] {
+		delete(t.parts, k)
+	}
+	return len(keys) > 0
 }
 
 // addCrash adds a crash that counts against a part, unless it is too old.
@@ -163,28 +203,31 @@
 	if p == nil {
 		return
 	}
-	if c.own {
-		p.crashedUnder++
-	} else {
+	if !c.own {
 		p.told = true
 	}
+	if c.at.After(p.lastUnder) {
+		p.lastUnder = c.at
+	}
 	if p.until.IsZero() && t.explained(k.model, id) {
 		return
 	}
 	p.expire(now)
 	old, known := p.crashes[id]
 	if known {
-		c = crash{earlier(c.at, old.at), c.own || old.own, c.depth}
+		c = crash{earlier(c.at, old.at), old.moment, c.own || old.own, c.depth}
 	}
-	if !c.at.After(p.since) || now.Sub(c.at) > evidenceTTL || !known && len(p.crashes) >= maxCrashes {
+	if !c.at.After(p.since) || now.Sub(c.at) > evidenceTTL {
+		return
+	}
+	if !known && len(p.crashes) >= maxCrashes && !p.dropBefore(c.at) {
 		return
 	}
 	if len(p.crashes) == 0 {
-		p.before, p.crashedUnder = t.balances[k.model].at(c.at), 0
+		p.before = t.balances[k.model].at(c.at)
 		if c.own {
 			p.before = t.balance(k.model)
-			p.before.crashed--
-			p.crashedUnder = 1
+			p.before.crashed -= t.brokenBy(id)
 		}
 	}
 	p.crashes[id] = c
@@ -203,7 +246,7 @@
 func (t *Tracker) distinctCrashes(p *part) int {
 	at := make([]time.Time, 0, len(p.crashes))
 	for _, c := range p.crashes {
-		at = append(at, c.at)
+		at = append(at, c.moment)
 	}
 	slices.SortFunc(at, time.Time.Compare)
 	n := 0
@@ -229,7 +272,7 @@
 			with++
 		}
 	}
-	return float64(with) >= minExplained*float64(all)
+	return with > 0 && float64(with) >= minExplained*float64(all)
 }
 
 // firstMoment returns the index of the first crash that is not before a time.
@@ -255,15 +298,31 @@
 	return id
 }
 
-// addMoment records the time of a crash, unless it is known.
-func (t *Tracker) addMoment(id crashID, at, now time.Time) {
+// broke counts an own attempt that a crash ended, and brokenBy returns their number.
+func (t *Tracker) broke(id crashID) {
+	if i := slices.IndexFunc(t.moments, func(m moment) bool { return m.id == id }); i >= 0 {
+		t.moments[i].broken++
+	}
+}
+
+func (t *Tracker) brokenBy(id crashID) int {
+	if i := slices.IndexFunc(t.moments, func(m moment) bool { return m.id == id }); i >= 0 {
+		return t.moments[i].broken
+	}
+	return 0
+}
+
+// addMoment records the time of a crash, unless it is known. It returns the recorded
+// time.
+func (t *Tracker) addMoment(id crashID, at, now time.Time) time.Time {
 	old := 0
 	for old < len(t.moments) && (now.Sub(t.moments[old].at) > evidenceTTL || len(t.moments)-old >= maxMoments) {
 		old++
 	}
 	t.moments = slices.Delete(t.moments, 0, old)
-	if slices.ContainsFunc(t.moments, func(m moment) bool { return m.id == id }) {
-		return
+	if i := slices.IndexFunc(t.moments, func(m moment) bool { return m.id == id }); i >= 0 {
+		return t.moments[i].at
 	}
-	t.moments = slices.Insert(t.moments, t.firstMoment(at), moment{at, id})
+	t.moments = slices.Insert(t.moments, t.firstMoment(at), moment{at: at, id: id})
+	return at
 }
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -13,14 +13,16 @@
 //     made to it after a crash, since its record may be old. Crashes of several engines
 //     within sameMoment have a common cause. They count once against a part, and only
 //     if it was at a third of these engines or more: a loss of power is no fault of
-//     what happened to run at one of them.
+//     what happened to run at one of them. Of what several instances tell of a crash
+//     the first known time holds.
 //  3. An answer to a request proves its parts sound. All crashes before it no longer
 //     count against them.
 //  4. A part against which quarantine.crashes crashes count is suspect. A suspect is
-//     blamed if its crashes, times the share of the other requests for the model that
-//     were answered meanwhile (of those answered or crashed under, and priorCrashed
-//     more), are minEvidence of quarantine.crashes, and there were at least as many
-//     answers as crashes. So while engines crash under everybody, no part is blamed.
+//     blamed if the chance of its crashes would be maxChance at most, were it as likely
+//     to meet one as the other requests for the model were meanwhile, and there were
+//     at least as many answers as crashes. Requests that ended in the part's own
+//     crashes tell nothing, as a part that crashes engines takes others with it. So
+//     while engines crash under everybody, no part is blamed.
 //  5. A suspect is quarantined settleTime after it became one and after its last
 //     crash, when what other instances saw is known too. Of several that are to blame
 //     the one with the most crashes is first; one waits while another part was at all
@@ -39,8 +41,10 @@
 //     the part up to maxDuration, or until an answer proves the part sound. After it
 //     crashes count anew.
 //  9. Instances tell each other crashes, quarantines and answers (Report, Merge). A
-//     told crash counts like an own one. A told quarantine is adopted as it is. A told
-//     answer is one of rule 3, at the time at which it was given.
+//     told crash counts like an own one, unless it is from a report that was written
+//     before this instance knew of it. A told quarantine is adopted, for no
+//     longer than an own one would last, unless the part was answered here since or
+//     shortly before. A told answer is one of rule 3, at the time at which it was given.
 //  10. Everything told is bounded, in bytes, entries and time, and an entry that can't
 //     be used is ignored alone. Times are told as ages, since clocks differ; only the
 //     end of a quarantine is a time of day, and it is bounded by maxDuration.
@@ -63,10 +67,12 @@
 	// minExplained is the share of the engines that crashed at the same moment under a
 	// part which makes the crash count against it.
 	minExplained = 1.0 / 3
-	// minEvidence is the share of quarantine.crashes that has to remain when a part's
-	// crashes are weighed with the share of other requests that were answered.
-	minEvidence  = 0.6
-	priorCrashed = 3
+	// maxChance is the greatest chance with which a blamed part's crashes may have
+	// come about if engines crashed under it as often as under others.
+	maxChance = 1e-4
+	// priorCrashed is the number of other requests that count as crashed under before
+	// one was (half of one: the Jeffreys prior).
+	priorCrashed = 0.5
 	// settleTime is the time in which an instance hears of what the others saw.
 	settleTime = 500 * time.Millisecond
 	// trialPause is the time from a crash to the next trial of a suspect part, in
@@ -81,9 +87,10 @@
 	// maxRetryAfter bounds the time after which a caller may ask again: an answer
 	// elsewhere may end a quarantine early.
 	maxRetryAfter = time.Minute
-	// maxParts bounds the parts that are tracked, and maxCrashes the crashes that
-	// count against one.
+	// maxParts bounds the parts that are tracked, of which evicted are removed at once,
+	// and maxCrashes the crashes that count against one.
 	maxParts   = 2048
+	evicted    = 256
 	maxCrashes = 32
 	// maxMoments bounds the crashes of which the time is kept.
 	maxMoments = 1024
@@ -118,6 +125,8 @@
 type moment struct {
 	at time.Time
 	id crashID
+	// broken is the number of own attempts that the crash ended.
+	broken int
 }
 
 var _ hbs.CrashWatch = (*Tracker)(nil)
@@ -207,10 +216,11 @@
 	t.mu.Lock()
 	id := t.crashOf(e, connected)
 	t.add(req.Model, balance{crashed: 1}, now)
-	t.addMoment(id, now, now)
+	known := t.addMoment(id, now, now)
+	t.broke(id)
 	for i, name := range req.Parts {
 		names[i] = string(name)
-		t.addCrash(partKey{req.Model, name}, id, crash{now, true, i}, now)
+		t.addCrash(partKey{req.Model, name}, id, crash{now, known, true, i}, now)
 	}
 	again = t.mayRepeat(req)
 	t.judge(now)
@@ -243,7 +253,12 @@
 	if len(t.parts) > 0 {
 		for _, id := range req.Parts {
 			k := partKey{req.Model, id}
-			if p := t.parts[k]; p != nil && t.answered(k, p, now, "answered") {
+			p := t.parts[k]
+			if p == nil {
+				continue
+			}
+			p.lastAnswer = now
+			if t.answered(k, p, now, "answered") {
 				p.answeredAt, news = now, true
 			}
 		}
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -145,6 +145,26 @@
 		})
 	})
 
+	// Guards against a caller whose prompts have so many parts that a suspect is
+	// forgotten.
+	It("stays suspect when there are more parts than are tracked", func() {
+		inBubble(func(g *WithT) {
+			t := newTracker("i")
+			for n := range 3 {
+				t.Crashed(request("bad"), engine(n, 1), time.Time{})
+				time.Sleep(moment)
+			}
+			var many []hbs.PartID
+			for i := range 5000 {
+				many = append(many, hbs.PartID(fmt.Sprint("many", i)))
+			}
+			t.Crashed(request(many...), engine(9, 1), time.Time{})
+			time.Sleep(moment)
+			answer(t, 100, "other")
+			g.Expect(t.Check(request("bad"))).NotTo(BeNil())
+		})
+	})
+
 	// Guards against a quarantine that never ends, and one that ends again and again
 	// while engines still crash.
 	It("is free after the quarantine, twice as late the next time (rule 8)", func() {
@@ -203,6 +223,30 @@
 		})
 	})
 
+	// Guards against one loss of power that counts as several crashes, since reports
+	// of it arrive at different times.
+	It("is not blamed for one loss of power of which several instances tell (rules 2 and 9)", func() {
+		inBubble(func(g *WithT) {
+			t := newTracker("i")
+			var reports []hbs.Object
+			for n := range 3 {
+				t.Crashed(request("beside"), engine(n, 1), time.Time{})
+				o := newTracker(fmt.Sprint("o", n))
+				o.Crashed(request("shared", "part"), engine(n, 1), time.Time{})
+				value, _, err := o.Report()
+				g.Expect(err).NotTo(HaveOccurred())
+				reports = append(reports, hbs.Object{Kind: quarantine.Kind, Name: string(o.Self), Revision: 1, Value: value})
+			}
+			for i := range reports {
+				time.Sleep(300 * time.Millisecond)
+				t.Merge(&reports[i], true)
+			}
+			time.Sleep(moment)
+			answer(t, 50, "other")
+			g.Expect(t.Check(request("shared", "part"))).To(BeNil())
+		})
+	})
+
 	// Guards against a part that is blamed for the crashes of engines that ran it
 	// beside a deadly one, as placement sends similar requests to the same engines.
 	It("is not blamed for crashes that another part explains (rule 5)", func() {
@@ -331,6 +375,43 @@
 		})
 	})
 
+	// Guards against a deadly part that is known late, since each engine that it crashes
+	// takes many other requests with it.
+	It("that is deadly is blamed in time although each crash takes many other requests with it (rule 4)", func() {
+		inBubble(func(g *WithT) {
+			t := newTracker("i")
+			for n := range 4 {
+				for i := range 40 {
+					t.Crashed(request("shared", hbs.PartID(fmt.Sprint("other", n, i))), engine(n, 1), time.Time{})
+					if i == 20 {
+						t.Crashed(request("shared", "bad"), engine(n, 1), time.Time{})
+					}
+				}
+				answer(t, 10, "shared", "third")
+				time.Sleep(moment)
+			}
+			g.Expect(t.Check(request("bad"))).NotTo(BeNil())
+		})
+	})
+
+	// Guards against parts that are blamed since three of their requests, of as many,
+	// happened to be at engines that crash for other reasons.
+	It("is not blamed for three crashes while engines crash under one in three of the others (rule 4)", func() {
+		inBubble(func(g *WithT) {
+			t := newTracker("i")
+			for n := range 3 {
+				t.Crashed(request("part"), engine(2*n, 1), time.Time{})
+				time.Sleep(moment)
+				for range 8 {
+					t.Crashed(request("other"), engine(2*n+1, 1), time.Time{})
+				}
+				answer(t, 20, "other")
+				time.Sleep(moment)
+			}
+			g.Expect(t.Check(request("part"))).To(BeNil())
+		})
+	})
+
 	// Guards against parts that are blamed when the first few answers after a long
 	// failure happen to be to others.
 	It("is not blamed after fewer answers than crashes (rule 4)", func() {
@@ -393,4 +474,38 @@
 			g.Expect(t.Begin(request("part"))).NotTo(BeNil())
 		})
 	})
+
+	// Guards against trials that follow each other without a pause since so many crashes
+	// count already.
+	It("is not tried right after a crash, however many there were (rule 6)", func() {
+		inBubble(func(g *WithT) {
+			t := newTracker("i")
+			for n := range 40 {
+				t.Crashed(request("part"), engine(n, 1), time.Time{})
+				g.Expect(n < 3 || t.Begin(request("part")) != nil).To(BeTrue(), "crash %d", n+1)
+				time.Sleep(moment)
+			}
+		})
+	})
+
+	// Guards against trials without a pause of a part whose crashes another explains.
+	It("is not tried right after a crash that another part explains (rule 6)", func() {
+		inBubble(func(g *WithT) {
+			t := newTracker("i")
+			for n := range 3 {
+				t.Crashed(request("suspect"), engine(n, 1), time.Time{})
+				time.Sleep(moment)
+			}
+			other := request("suspect")
+			for n := range 4 {
+				t.Crashed(request("shared", "bad"), engine(10+n, 1), time.Time{})
+				time.Sleep(moment)
+			}
+			answer(t, 5, "shared", "other")
+			g.Expect(t.Check(request("bad"))).NotTo(BeNil())
+			time.Sleep(2 * moment)
+			t.Crashed(other, engine(13, 1), time.Time{})
+			g.Expect(t.Begin(request("suspect"))).NotTo(BeNil())
+		})
+	})
 })
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -26,6 +26,8 @@
 	// holds.
 	crashTTL  = 30 * time.Second
 	answerTTL = 10 * time.Second
+	// maxTellTime bounds the time by which a told quarantine seems later than it was.
+	maxTellTime = time.Second
 	// reportTTL is the time without a change after which a report tells nothing more,
 	// unless it has a quarantine.
 	reportTTL = 2 * evidenceTTL
@@ -37,6 +39,8 @@
 	// changed is when the revision was first read. until is the end of the longest
 	// quarantine in it; zero without one.
 	changed, until time.Time
+	// partial is set if all but the quarantines of the revision was left out.
+	partial bool
 }
 
 // report is the JSON form of what an instance tells (rule 9). Lists are decoded entry
@@ -153,46 +157,48 @@
 // was written just now. The first one under this instance's own name is that of its
 // earlier incarnation.
 func (t *Tracker) Merge(obj *hbs.Object, fresh bool) {
+	if t.merge(obj, fresh) {
+		t.changed()
+	}
+}
+
+// merge is Merge. It reports whether there is something to tell.
+func (t *Tracker) merge(obj *hbs.Object, fresh bool) (news bool) {
 	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	seen, known := t.reports[obj.Name]
-	if known && obj.Revision <= seen.revision {
-		return
+	if known && (obj.Revision < seen.revision || obj.Revision == seen.revision && !(fresh && seen.partial)) {
+		return false
 	}
 	own := obj.Name == string(t.Self)
 	if t.reports == nil {
 		t.reports = map[string]reportState{}
 	}
-	t.reports[obj.Name] = reportState{obj.Revision, now, time.Time{}}
+	t.reports[obj.Name] = reportState{obj.Revision, now, time.Time{}, !fresh && !known}
 	if own && known {
-		return
+		return false
 	}
 	var r report
 	if len(obj.Value) > maxReportBytes {
 		t.ignore(obj, errors.Newf("report has %d bytes", len(obj.Value)))
-		return
+		return false
 	}
 	if err := json.Unmarshal(obj.Value, &r); err != nil {
 		t.ignore(obj, err)
-		return
+		return false
+	}
+	m := merger{t: t, obj: obj, now: now, own: own}
+	// In a report that was written some time ago ages are no longer true: an answer
+	// could seem to be later than a crash, or a crash than an answer.
+	if fresh || known {
+		m.each(r.Crashes, m.crash)
 	}
-	m := merger{t, obj, now, own}
-	m.each(r.Crashes, m.crash)
 	m.each(r.Quarantines, m.quarantine)
 	if fresh || known {
-		// In a report that was written some time ago ages are no longer true, so an
-		// answer could seem to be later than a crash.
 		m.each(r.Answers, m.answer)
 	}
-	t.judge(now)
-}
-
-// undecided reports whether a part is suspect.
-func (t *Tracker) undecided() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return len(t.suspects) > 0
+	return t.judge(now) || m.news
 }
 
 // Removed records that a report was removed.
@@ -228,6 +234,9 @@
 	now time.Time
 	// own is set for the report of this instance's earlier incarnation.
 	own bool
+	// news is set once there is something to tell: an answer, or that an entry of this
+	// instance no longer holds.
+	news bool
 }
 
 func (m *merger) each(list []json.RawMessage, apply func(*entry)) {
@@ -251,8 +260,9 @@
 		return
 	}
 	id := crashID{e.Endpoint, e.Incarnation, e.Again}
-	m.t.addMoment(id, e.at(m.now), m.now)
-	m.t.addCrash(e.key(), id, crash{e.at(m.now), m.own, e.Depth}, m.now)
+	// Told crashes seem later than they were, by the time that telling takes.
+	known := m.t.addMoment(id, e.at(m.now), m.now)
+	m.t.addCrash(e.key(), id, crash{earlier(e.at(m.now), known), known, m.own, e.Depth}, m.now)
 }
 
 func (m *merger) quarantine(e *entry) {
@@ -269,12 +279,20 @@
 	if p == nil || !p.until.IsZero() || !e.at(m.now).After(p.since) {
 		return
 	}
+	if !p.lastAnswer.IsZero() && !e.at(m.now).Add(-maxTellTime).After(p.lastAnswer) {
+		p.answeredAt, p.disputed, m.news = p.lastAnswer, m.now.Add(d), true
+		return
+	}
 	p.own = m.own
-	m.t.quarantine(e.key(), p, m.now, d, m.obj.Name)
+	m.t.quarantine(e.key(), p, m.now, min(d, m.t.duration(e.key(), p)), m.obj.Name)
 }
 
 func (m *merger) answer(e *entry) {
-	if p := m.t.parts[e.key()]; p != nil {
-		m.t.answered(e.key(), p, e.at(m.now), "answered at "+m.obj.Name)
+	p := m.t.parts[e.key()]
+	if p == nil {
+		return
 	}
+	before := p.ownEntries()
+	m.t.answered(e.key(), p, e.at(m.now), "answered at "+m.obj.Name)
+	m.news = m.news || p.ownEntries() < before
 }
--- a/quarantine/sharer_test.go
+++ b/quarantine/sharer_test.go
@@ -172,7 +172,9 @@
 			late := s.start("late")
 			time.Sleep(shareTime)
 			late.Crashed(request("shared", "bad"), engine(3, 1), time.Time{})
-			answer(late, 5, "shared", "other")
+			for _, t := range s.trackers {
+				answer(t, 5, "shared", "other")
+			}
 			time.Sleep(shareTime)
 			s.Expect(late.Check(request("bad"))).NotTo(BeNil())
 		})
@@ -192,6 +194,24 @@
 		})
 	})
 
+	// Guards against an instance that starts and refuses a sound part, as the report of
+	// the quarantine that an answer ended is still in the store.
+	It("tell one that starts later of no quarantine that an answer at another has ended (rule 9)", func() {
+		withSharing(3, func(s *sharing) {
+			for n := range 3 {
+				s.crashAt(0, n)
+			}
+			time.Sleep(shareTime)
+			s.Expect(s.refusing("bad")).To(Equal(3))
+			answer(s.trackers[2], 1, "shared", "bad")
+			time.Sleep(shareTime)
+			s.Expect(s.refusing("bad")).To(BeZero())
+			late := s.start("late")
+			time.Sleep(shareTime)
+			s.Expect(late.Check(request("bad"))).To(BeNil())
+		})
+	})
+
 	// Guards against a store that is needed to protect engines.
 	It("go by their own crashes while the store is away, and share them when it is back", func() {
 		withSharing(3, func(s *sharing) {
@@ -241,7 +261,127 @@
 			s.crashAt(1, 2)
 			time.Sleep(shareTime)
 			s.Expect(s.refusing("bad")).To(Equal(2))
-			s.Expect(s.store.Objects(quarantine.Kind)).To(HaveLen(1))
+			reports := map[string]string{}
+			for _, o := range s.store.Objects(quarantine.Kind) {
+				s.Expect(reports).NotTo(HaveKey(o.Name))
+				reports[o.Name] = string(o.Value)
+			}
+			s.Expect(reports).To(And(HaveLen(2), HaveKey("i1")))
+			s.Expect(reports["i0"]).To(And(ContainSubstring(`"e1"`), ContainSubstring(`"e2"`)))
+		})
+	})
+})
+
+// report returns what an instance has to tell.
+func report(g *WithT, t *quarantine.Tracker, revision hbs.Revision) *hbs.Object {
+	value, _, err := t.Report()
+	g.Expect(err).NotTo(HaveOccurred())
+	return &hbs.Object{Kind: quarantine.Kind, Name: string(t.Self), Revision: revision, Value: value}
+}
+
+var _ = Describe("an instance that reads reports", func() {
+	// Guards against an instance that starts and blames a part that was answered since.
+	It("is told nothing by crashes of long ago, as by answers (rule 9)", func() {
+		inBubble(func(g *WithT) {
+			t, saw, knows := newTracker("i"), newTracker("j"), newTracker("k")
+			for n := range 3 {
+				saw.Crashed(request("shared", "sound"), engine(n, 1), time.Time{})
+				time.Sleep(moment)
+			}
+			crashes := report(g, saw, 1)
+			knows.Merge(crashes, true)
+			answer(knows, 1, "shared", "sound")
+			answers := report(g, knows, 2)
+			time.Sleep(moment)
+			t.Merge(crashes, false)
+			t.Merge(answers, false)
+			answer(t, 50, "other")
+			time.Sleep(moment)
+			g.Expect(t.Check(request("shared", "sound"))).To(BeNil())
+		})
+	})
+
+	// Guards against an answer of before the crashes that seems to be later than they,
+	// as its age was written down long ago.
+	It("is told nothing by answers of long ago, and counts its crashes on (rule 9)", func() {
+		inBubble(func(g *WithT) {
+			t, other := newTracker("i"), newTracker("j")
+			other.Crashed(request("shared", "bad"), engine(9, 1), time.Time{})
+			report(g, other, 1)
+			answer(other, 1, "shared", "bad")
+			answers := report(g, other, 2)
+			g.Expect(string(answers.Value)).To(ContainSubstring("answers"))
+			crash(t, 2, "shared", "bad")
+			t.Merge(answers, false)
+			t.Crashed(request("shared", "bad"), engine(2, 1), time.Time{})
+			answer(t, 5, "shared", "other")
+			time.Sleep(moment)
+			g.Expect(t.Check(request("bad"))).NotTo(BeNil())
+		})
+	})
+
+	// Guards against an answer that is lost since a listing had the report first.
+	It("is told by a report that was in a listing before it was watched (rule 9)", func() {
+		inBubble(func(g *WithT) {
+			t, other := newTracker("i"), newTracker("j")
+			crash(t, 3, "shared", "sound")
+			g.Expect(t.Check(request("sound"))).NotTo(BeNil())
+			time.Sleep(moment)
+			other.Merge(report(g, t, 1), true)
+			time.Sleep(moment)
+			answer(other, 1, "sound")
+			r := report(g, other, 2)
+			t.Merge(r, false)
+			g.Expect(t.Check(request("sound"))).NotTo(BeNil())
+			t.Merge(r, true)
+			g.Expect(t.Check(request("sound"))).To(BeNil())
+		})
+	})
+
+	// Guards against a quarantine that is adopted although the part was answered after
+	// it began, since telling of it takes time.
+	It("adopts no quarantine of a part that it saw answered meanwhile, and tells of the answer (rule 9)", func() {
+		inBubble(func(g *WithT) {
+			t, other := newTracker("i"), newTracker("j")
+			other.Crashed(request("shared", "sound"), engine(9, 1), time.Time{})
+			t.Merge(report(g, other, 1), true)
+			answer(t, 1, "sound")
+			crash(other, 3, "shared", "sound")
+			g.Expect(other.Check(request("sound"))).NotTo(BeNil())
+			told := report(g, other, 2)
+			time.Sleep(100 * time.Millisecond)
+			answer(t, 1, "sound")
+			time.Sleep(200 * time.Millisecond)
+			t.Merge(told, true)
+			g.Expect(t.Check(request("sound"))).To(BeNil())
+			other.Merge(report(g, t, 3), true)
+			g.Expect(other.Check(request("sound"))).To(BeNil())
+		})
+	})
+
+	// Guards against one writer of the store who quarantines many parts for hours.
+	It("adopts quarantines for no longer than it would quarantine the part itself (rules 8 and 9)", func() {
+		inBubble(func(g *WithT) {
+			t := newTracker("i")
+			until := time.Now().Add(3 * time.Hour).UnixMilli()
+			value := fmt.Sprintf(`{"quarantines":[{"model":"m","part":"sound","until_ms":%d}]}`, until)
+			t.Merge(&hbs.Object{Kind: quarantine.Kind, Name: "odd", Revision: 1, Value: []byte(value)}, true)
+			g.Expect(t.Check(request("sound"))).NotTo(BeNil())
+			time.Sleep(firstQuarantine + moment)
+			g.Expect(t.Check(request("sound"))).To(BeNil())
+		})
+	})
+
+	// Guards against a quarantine that stays with the instance that found it due.
+	It("tells of a quarantine that it finds due while it reads (rule 9)", func() {
+		inBubble(func(g *WithT) {
+			t, other := newTracker("i"), newTracker("j")
+			crash(t, 3, "shared", "bad")
+			told := false
+			t.Changed = func() { told = true }
+			t.Merge(report(g, other, 1), true)
+			g.Expect(told).To(BeTrue())
+			g.Expect(t.Check(request("bad"))).NotTo(BeNil())
 		})
 	})
 })
