--- a/gateway/assemble.go
+++ b/gateway/assemble.go
@@ -63,8 +63,8 @@
 	bufferShare = 0.1
 )
 
-// longWaits has the kinds whose changes are rare and of which an instance need not
-// know that it has the newest. A longer wait saves calls.
+// longWaits has the kinds whose changes are rare, come from all instances at once and
+// need not be known to be the newest. Longer waits save calls.
 var longWaits = map[hbs.ObjectKind]time.Duration{quarantine.Kind: 10 * time.Second}
 
 // assemble builds the components in dependency order.
