placement: the limit that an endpoint names is logged

Change: package platform decodes Server-Limit, package forward hands it to the placer, which logs each change; the line attempt ended has the limit that was known at the placement. No decision uses it yet.

--- a/endpoint.go
+++ b/endpoint.go
@@ -200,6 +200,18 @@
 	return nil
 }
 
+// EndpointSignals is what an endpoint tells of itself in the header of a response.
+type EndpointSignals struct {
+	// Limited is set if the endpoint names a limit: the number of requests per second
+	// that it takes from all instances together, for as long as its responses name it.
+	Limited bool
+	// RequestsPerSecond is the limit, not negative; 0 unless Limited is set.
+	RequestsPerSecond float64
+	// Malformed is the header that can't be decoded, with its value; empty if there is
+	// none. The other fields don't tell then what the endpoint asks for.
+	Malformed string
+}
+
 // Roster is an immutable snapshot of the known endpoints and instances. Compare
 // pointers to detect a change.
 type Roster struct {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -77,6 +77,9 @@
 	// OnMismatch is called when an endpoint reported that it is not the intended
 	// one, or that it has other weights; may be nil.
 	OnMismatch func(e *hbs.Endpoint, a *platform.ResponseInfo)
+	// OnSignals is called with what an endpoint tells of itself in the header of the
+	// response to an attempt that began at began; may be nil.
+	OnSignals func(e *hbs.Endpoint, began time.Time, s hbs.EndpointSignals)
 	// CheckStart reports whether a request must not begin any more at e, as it was when
 	// the attempt began (rule 8), and otherwise when to ask again; 0 means never. nil
 	// means that requests may begin at any time.
@@ -215,6 +218,7 @@
 	r.result.Status = res.StatusCode
 	r.result.Unframed = attempt.Unframed(res)
 	r.result.Weights = a.Weights
+	r.reportSignals(&a)
 	switch {
 	case a.RequestID != "" && a.RequestID != r.Request.ID:
 		r.rejectResponse("the answer names another request")
@@ -235,6 +239,16 @@
 	}
 }
 
+// reportSignals passes on what the endpoint tells of itself, if the response is its own
+// to this request.
+func (r *run) reportSignals(a *platform.ResponseInfo) {
+	e := &r.Placement.Endpoint
+	if r.OnSignals == nil || a.RequestID != r.Request.ID || a.Endpoint != "" && a.Endpoint != e.ID {
+		return
+	}
+	r.OnSignals(e, r.started, a.Signals)
+}
+
 // continuesStream reports whether a response can continue a stream of which the
 // caller has a part.
 func continuesStream(res *http.Response) bool {
--- a/gateway/assemble.go
+++ b/gateway/assemble.go
@@ -134,6 +134,7 @@
 		EventTokens: g.routes.eventTokens,
 		CacheStore:  g.routes.kvStoreAddress,
 		CheckStart:  g.checkStart,
+		OnSignals:   g.fleet.ObserveSignals,
 		OnMismatch: func(e *hbs.Endpoint, r *platform.ResponseInfo) {
 			g.directory.SetReportedWeights(e.ID, e.Weights, r.Weights)
 		},
--- a/placement.go
+++ b/placement.go
@@ -30,6 +30,8 @@
 	// LoadFrom is the address of another engine from which the chosen engine may load
 	// the missing part of the prompt's KV cache. It is invalid if there is none.
 	LoadFrom netip.AddrPort
+	// Signals is what the endpoint had told of itself by then.
+	Signals EndpointSignals
 	// StoreTokens is the length in tokens of the prompt prefix that the engine is asked
 	// to export to the KV cache store, 0 for none.
 	StoreTokens int
--- a/placement/cost.go
+++ b/placement/cost.go
@@ -164,6 +164,7 @@
 		Wait:          seconds(m.wait),
 		FirstToken:    first,
 		FirstTokenP95: seconds(m.firstToken * g.rates.tail),
+		Signals:       m.signals,
 	}
 	p.meters.decisions.Inc(1)
 	if m.homeTokens < req.PromptTokens && len(req.Levels) > 0 {
--- a/placement/member.go
+++ b/placement/member.go
@@ -54,6 +54,8 @@
 	failures int
 	// paused is the time until which the endpoint gets no attempts.
 	paused time.Time
+	// signals is what the endpoint told last.
+	signals hbs.EndpointSignals
 
 	// The fields below are the state of one decision; decision is its number.
 	decision uint64
