--- a/standin/pool/pool.go
+++ b/standin/pool/pool.go
@@ -52,6 +52,10 @@
 	// Answer, if not nil, answers the requests that were executed. The headers that
 	// identify the request and the endpoint are set before it is called.
 	Answer http.HandlerFunc
+	// Limit is the number of requests per second that the endpoint names as its limit in
+	// every response to a caller's request, as text; empty means none. The endpoint
+	// doesn't enforce it.
+	Limit string
 	// DropOrderAnswer accepts orders but aborts the connection instead of answering.
 	DropOrderAnswer bool
 	// Busy refuses orders as if another one were in progress.
@@ -377,6 +381,9 @@
 	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.faults.Limit != "" {
+		w.Header().Set("Server-Limit", e.faults.Limit)
+	}
 	expected := r.Header.Get("X-Expect-Instance")
 	version := r.Header.Get("X-Expect-Version")
 	switch {
