--- /dev/null
+++ b/gateway/restored_test.go
@@ -0,0 +1,194 @@
+package gateway_test
+
+import (
+	"flag"
+	"fmt"
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	hbs "github.com/hornbeamstage/hornbeamstage"
+	"github.com/hornbeamstage/hornbeamstage/platform"
+	"github.com/hornbeamstage/hornbeamstage/standin/pool"
+)
+
+const (
+	// awayTime is how long the store is away before it is back from a copy.
+	awayTime = time.Second
+	// configTime is the time after an acknowledgement within which a change of the
+	// configuration is in force.
+	configTime = 2 * time.Second
+	// drainTime is the time after an instance knows that an endpoint leaves within
+	// which the last request may reach it.
+	drainTime = 2 * time.Second
+)
+
+// red makes the specs run that KNOWN-RED.txt lists.
+var red = flag.Bool("red", false, "also run the specs listed in KNOWN-RED.txt")
+
+func skipUnlessRed() {
+	if !*red {
+		Skip("listed in KNOWN-RED.txt; go test ./gateway -red")
+	}
+}
+
+// writeMany changes an object of another kind n times, as engines do with their
+// heartbeats.
+func (f *fleet) writeMany(n int) {
+	for i := range n {
+		f.Expect(f.store.Put("other", "o", i)).To(Succeed())
+	}
+}
+
+// expectOneHolderPerFence checks the orders of all engines: each fencing number was
+// used by one instance, and no engine got a lower one after a higher one.
+func (f *fleet) expectOneHolderPerFence() {
+	holders := map[uint64]string{}
+	for _, e := range f.engines {
+		last := uint64(0)
+		for _, o := range e.Orders() {
+			if h, ok := holders[o.Fence]; ok {
+				f.Expect(o.Holder).To(Equal(h), "fencing number %d", o.Fence)
+			}
+			holders[o.Fence] = o.Holder
+			f.Expect(o.Fence).To(BeNumerically(">=", last), "engine %s", e.ID)
+			last = o.Fence
+		}
+	}
+}
+
+// stopHolder stops the instance that gave the last order, and returns the other one.
+func (f *fleet) stopHolder() (other int) {
+	holder := f.engines[0].Orders()[0].Holder
+	for i := range f.instances {
+		if fmt.Sprintf("i%d", i+1) == holder {
+			f.cancel[i]()
+			<-f.results[i]
+			return 1 - i
+		}
+	}
+	return 0
+}
+
+var _ = Describe("a store that was restored from a copy", func() {
+	// Guards against two holders with one fencing number (ONE): the number followed
+	// from that of the stored lease, which was older than the last one.
+	It("has leases with higher fencing numbers than before", func() {
+		skipUnlessRed()
+		withFleet(func(f *fleet) {
+			f.publishWeights(2)
+			time.Sleep(takeoverTime)
+			c := f.store.Copy()
+			stopped := 1 - f.stopHolder()
+			time.Sleep(takeoverTime)
+			f.publishWeights(3)
+			time.Sleep(takeoverTime)
+			f.Expect(f.versions()).To(HaveEach(int64(3)))
+			f.startInstance(stopped)
+			f.store.Restore(c, awayTime, func() { f.publishWeights(3) })
+			time.Sleep(awayTime)
+			f.publishWeights(4)
+			time.Sleep(2 * takeoverTime)
+			f.Expect(f.versions()).To(HaveEach(int64(4)))
+			f.expectOneHolderPerFence()
+		})
+	})
+
+	// Guards against two holders at the same time (ONE): a lease that the copy didn't
+	// have was created at once, with the first fencing number.
+	It("has higher fencing numbers if the copy had no lease", func() {
+		skipUnlessRed()
+		withFleet(func(f *fleet) {
+			f.store.Remove(hbs.ObjectLease, "orders.fleet")
+			c := f.store.Copy()
+			time.Sleep(takeoverTime)
+			f.publishWeights(2)
+			time.Sleep(takeoverTime)
+			f.stopHolder()
+			f.store.Restore(c, awayTime, func() { f.publishWeights(2) })
+			time.Sleep(awayTime)
+			f.publishWeights(3)
+			time.Sleep(2 * takeoverTime)
+			f.Expect(f.versions()).To(HaveEach(int64(3)))
+			f.expectOneHolderPerFence()
+		})
+	})
+
+	// Guards against a confirmed change that is not in force (CONFIG): a watch went on
+	// from a revision that had been given out again.
+	It("is read anew, also if its revisions are beyond the ones that were read", func() {
+		skipUnlessRed()
+		withFleet(func(f *fleet) {
+			c := f.store.Copy()
+			f.publishRoutes(2, goodKey)
+			f.writeMany(3)
+			time.Sleep(settleTime)
+			f.store.Restore(c, awayTime, func() {
+				f.publishRoutes(2, goodKey)
+				f.publishRoutes(3, "second")
+				f.writeMany(20)
+			})
+			time.Sleep(awayTime + configTime)
+			for i := range f.instances {
+				f.Expect(f.send(call{i: i, path: "/write/x", key: "second"}).status).To(Equal(http.StatusOK))
+				f.Expect(f.send(call{i: i, path: "/write/x"}).status).To(Equal(http.StatusUnauthorized))
+			}
+		})
+	})
+
+	// Guards against callers that are refused while endpoints run: records that the
+	// copy didn't have counted as removed.
+	It("keeps endpoints in use whose records are written again", func() {
+		skipUnlessRed()
+		withFleet(func(f *fleet) {
+			for _, e := range f.services {
+				f.store.Remove(platform.KindEndpoints, string(e.ID))
+			}
+			c := f.store.Copy()
+			for _, e := range f.services {
+				f.register(e)
+			}
+			time.Sleep(settleTime)
+			f.store.Restore(c, awayTime, func() {})
+			time.AfterFunc(awayTime+1500*time.Millisecond, func() {
+				for _, e := range f.services {
+					f.register(e)
+				}
+			})
+			for start := time.Now(); time.Since(start) < 5*time.Second; time.Sleep(50 * time.Millisecond) {
+				f.Expect(f.send(call{path: "/read/x", method: http.MethodGet}).status).To(Equal(http.StatusOK))
+			}
+		})
+	})
+
+	// Guards against requests to an endpoint that has left (DRAIN): the copy still had
+	// its record.
+	DescribeTable("has records of endpoints that get no requests, as they had left", func(leave func(f *fleet, e *pool.Endpoint)) {
+		skipUnlessRed()
+		withFleet(func(f *fleet) {
+			c := f.store.Copy()
+			gone := f.services[0]
+			leave(f, gone)
+			time.Sleep(drainTime)
+			before := len(gone.Runs())
+			f.store.Restore(c, awayTime, func() {})
+			for start := time.Now(); time.Since(start) < 5*time.Second; time.Sleep(20 * time.Millisecond) {
+				f.send(call{path: "/read/x", method: http.MethodGet})
+				f.send(call{i: 1, path: "/read/x", method: http.MethodGet})
+			}
+			f.Expect(gone.Runs()).To(HaveLen(before))
+		})
+	},
+		Entry("in its own word", func(_ *fleet, e *pool.Endpoint) { e.Drain() }),
+		Entry("and its record was removed", func(f *fleet, e *pool.Endpoint) {
+			f.store.Remove(platform.KindEndpoints, string(e.ID))
+		}),
+		Entry("in its own word, and its record was removed", func(f *fleet, e *pool.Endpoint) {
+			e.Drain()
+			time.Sleep(settleTime)
+			f.store.Remove(platform.KindEndpoints, string(e.ID))
+		}),
+	)
+})
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -51,6 +51,8 @@
 	rng     *rand.Rand
 	objects map[objectKey]Object
 	rev     uint64
+	// era counts the restores of the store, and starts at 1.
+	era     uint64
 	changes []change
 	// oldest is the newest revision that was removed from changes, and so the oldest
 	// one that a watch can start after.
@@ -129,7 +131,7 @@
 func (p *Platform) init() {
 	p.once.Do(func() {
 		p.rng = rand.New(rand.NewPCG(p.Seed, 2))
-		p.objects = map[objectKey]Object{}
+		p.objects, p.era = map[objectKey]Object{}, 1
 		p.calls = map[CallKind]int{}
 		p.writes = rate.NewLimiter(writesPerSecond, writesPerSecond)
 		p.reads = rate.NewLimiter(readsPerSecond, readsPerSecond)
--- a/standin/platform/serve.go
+++ b/standin/platform/serve.go
@@ -57,7 +57,10 @@
 	r.PUT("/apis/v1/:kind/:name", p.handle(verbUpdate))
 	r.DELETE("/apis/v1/:kind/:name", p.handle(verbDelete))
 	p.addNumbered(r)
-	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) { r.ServeHTTP(verbatimWriter{w, p}, req) })
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		p.setEra(w.Header())
+		r.ServeHTTP(verbatimWriter{w, p}, req)
+	})
 }
 
 func (p *Platform) serveKind(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -123,7 +123,7 @@
 // since returns the visible changes of kind after rev and the revision up to
 // which the log was read. ok is false if the log no longer reaches back to rev.
 func (p *Platform) since(kind hbs.ObjectKind, rev uint64) (found []change, upTo uint64, ok bool) {
-	if rev < p.oldest {
+	if rev < p.oldest || rev > p.rev {
 		return nil, rev, false
 	}
 	until := p.visibleUntil(kind)
