presence, quarantine: what a restored store lost is written again

Instances took too large a part of what all may send (BUDGET, LIMIT) and sent requests that crash engines again: entries of instances and reports of crashes that a restored store had lost were written again only when the next write was due, after a minute, or when there was news.

Cause: an acknowledged write was taken for lasting.

Change: the client of the store calls OnRestore; instances then look for their entries soon, write them if they are missing, and go on counting the others that were listed before for a minute; the report of crashes is written again.

Measured: 'keeps its count after the store was restored' of package presence failed (counts 1, 4, 4, 4) and passes; gateway/restored_test.go 'has the quarantined parts again' failed (502 and a crash for 503) and passes.

--- a/gateway/assemble.go
+++ b/gateway/assemble.go
@@ -108,7 +108,7 @@
 	g.store = &platform.Client{
 		Address: s.Store, Network: g.Network, Timeout: callTimeout, Form: s.Form, WatchWait: watchWait, LongWaits: longWaits,
 		ReadsPerSecond: storeRateShare * s.ReadsPerSecond, WritesPerSecond: storeRateShare * s.WritesPerSecond,
-		Policy: g.policy, Metrics: g.Metrics, Log: g.Log.Named("store"),
+		Policy: g.policy, Metrics: g.Metrics, Log: g.Log.Named("store"), OnRestore: g.writeAgain,
 	}
 	g.presence = &presence.Counter{Platform: g.store, Self: self.ID, Log: g.Log.Named("presence")}
 	g.routes = &routeState{Suspended: g.Suspended}
@@ -119,6 +119,12 @@
 	}
 }
 
+// writeAgain makes the components write again what a restored store may have lost.
+func (g *Gateway) writeAgain() {
+	g.presence.Wake()
+	g.crashes.Rewrite()
+}
+
 // assembleServing builds the request path.
 func (g *Gateway) assembleServing(self hbs.Instance) {
 	g.fleet = &placement.Placer{
--- a/gateway/restored_test.go
+++ b/gateway/restored_test.go
@@ -186,6 +186,28 @@
 		})
 	})
 
+	// Guards against parts that crash engines anew (BUDGET): the reports of crashes were
+	// lost, and instances that start later know of none.
+	It("has the quarantined parts again", func() {
+		withFleet(func(f *fleet) {
+			c := f.store.Copy()
+			f.fail(f.engines, pool.Faults{DeadlyPart: deadlyPart, DownTime: engineDownTime})
+			f.sendMixed(8*time.Second, 500*time.Millisecond, 0)
+			f.Expect(f.send(promptCall(1, 0, deadlyPart)).status).To(Equal(http.StatusServiceUnavailable))
+			f.store.Restore(c, awayTime, func() {
+				for _, e := range f.engines {
+					f.register(e)
+				}
+			})
+			time.Sleep(awayTime + 2*time.Second)
+			f.restart(1)
+			time.Sleep(2 * time.Second)
+			before := len(f.crashes())
+			f.Expect(f.send(promptCall(1, 1, deadlyPart)).status).To(Equal(http.StatusServiceUnavailable))
+			f.Expect(f.crashes()).To(HaveLen(before))
+		})
+	})
+
 	// Guards against callers that are refused while endpoints run: records that the
 	// copy didn't have counted as removed.
 	It("keeps endpoints in use whose records are written again", func() {
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -10,11 +10,15 @@
 //     is deleted, at the revision that was read.
 //  3. During an outage of the platform the last count stays valid. After it the
 //     TTL of every entry starts anew, since no instance could write.
+//  4. A store that was restored from a copy may lack entries. An instance writes its
+//     entry again as soon as it misses it, and counts the others that were listed
+//     before the restore for rewriteTime more.
 package presence
 
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -41,6 +45,11 @@
 	refreshInterval = time.Minute
 	// entryTTL is the time without a change after which an entry has expired.
 	entryTTL = 5 * refreshInterval
+	// rewriteTime is the time from the first read of a restored store within which
+	// instances have written their entries again: one poll of each, and a failed one.
+	rewriteTime = 3 * maxPollInterval
+	// wakeSpread bounds the time from Wake to the next poll.
+	wakeSpread = 2 * time.Second
 )
 
 // Counter counts the instances. Its exported fields must be set before Run.
@@ -49,6 +58,10 @@
 	Self     hbs.InstanceID
 	Log      *zap.Logger
 
+	once sync.Once
+	// wake has an element while a poll was asked for.
+	wake chan struct{}
+
 	mu    sync.Mutex
 	count int
 	// known has the other instances that count. It is replaced, never changed.
@@ -61,6 +74,10 @@
 	// lastRead is when the entries were last read, lastWritten when this instance's
 	// entry was.
 	lastRead, lastWritten time.Time
+	// restores is the number of restores of the store that was read last, restoredAt
+	// when it was first read after the last one; zero if it was never restored.
+	restores   uint64
+	restoredAt time.Time
 }
 
 // observation is the newest revision of an entry and when it was first read.
@@ -90,15 +107,44 @@
 	return c.known
 }
 
+func (c *Counter) init() {
+	c.once.Do(func() { c.wake = make(chan struct{}, 1) })
+}
+
+// Wake makes Run poll soon, at a moment drawn at random, as others may be woken at the
+// same time.
+func (c *Counter) Wake() {
+	c.init()
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// wait waits for an interval, or a shorter time if Wake was called.
+func (c *Counter) wait(ctx context.Context, interval time.Duration) error {
+	t := time.NewTimer(interval)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+		return nil
+	case <-c.wake:
+	}
+	return delay.For(ctx, rand.N(wakeSpread))
+}
+
 // Run refreshes this instance's entry and the count until ctx ends.
 func (c *Counter) Run(ctx context.Context) error {
+	c.init()
 	c.entries = map[string]observation{}
 	interval := minPollInterval
 	for {
 		if err := c.poll(ctx); err != nil && ctx.Err() == nil {
 			c.Log.Debug("failed to count instances", zap.Error(err))
 		}
-		if err := delay.For(ctx, interval/2+rand.N(interval)); err != nil {
+		if err := c.wait(ctx, interval/2+rand.N(interval)); err != nil {
 			return err
 		}
 		interval = min(2*interval, maxPollInterval)
@@ -109,34 +155,30 @@
 // deletes expired ones.
 func (c *Counter) poll(ctx context.Context) (err error) {
 	defer func() { err = errors.Wrap(err, "count instances") }()
-	objs, _, err := c.Platform.List(ctx, Kind)
+	objs, rev, err := c.Platform.List(ctx, Kind)
 	if err != nil {
 		return err
 	}
-	c.updateCount(objs, time.Now())
+	c.updateCount(objs, rev.Restores(), time.Now())
 	return errors.CombineErrors(c.writeOwn(ctx, objs), c.deleteExpired(ctx, objs))
 }
 
-// updateCount counts the entries that have not expired (rules 2 and 3).
-func (c *Counter) updateCount(objs []hbs.Object, now time.Time) {
-	listed := map[string]observation{}
+// updateCount counts the entries that have not expired, of a store that was restored so
+// many times.
+func (c *Counter) updateCount(objs []hbs.Object, restores uint64, now time.Time) {
 	outage := now.Sub(c.lastRead) > outageTime
-	c.lastRead = now
-	n := 1
+	if !c.lastRead.IsZero() && restores > c.restores {
+		c.restoredAt = now
+	}
+	c.lastRead, c.restores = now, restores
+	c.entries = c.observe(objs, outage, now)
 	var known []hbs.InstanceID
-	for i := range objs {
-		o := &objs[i]
-		s, ok := c.entries[o.Name]
-		if !ok || outage || s.revision != o.Revision {
-			s = observation{o.Revision, now}
-		}
-		listed[o.Name] = s
-		if o.Name != string(c.Self) && now.Sub(s.firstRead) < entryTTL {
-			n++
-			known = append(known, hbs.InstanceID(o.Name))
+	for name, s := range c.entries {
+		if name != string(c.Self) && now.Sub(s.firstRead) < entryTTL {
+			known = append(known, hbs.InstanceID(name))
 		}
 	}
-	c.entries = listed
+	n := 1 + len(known)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if n != c.count {
@@ -145,11 +187,26 @@
 	c.count, c.known = n, known
 }
 
-// writeOwn writes this instance's entry when it is due (rule 1).
-func (c *Counter) writeOwn(ctx context.Context, objs []hbs.Object) (err error) {
-	if !c.lastWritten.IsZero() && time.Since(c.lastWritten) < refreshInterval {
-		return nil
+// observe returns the entries in a listing (rules 2 and 3), with those that a restored
+// store may lack (rule 4).
+func (c *Counter) observe(objs []hbs.Object, outage bool, now time.Time) map[string]observation {
+	listed := map[string]observation{}
+	if !c.restoredAt.IsZero() && now.Sub(c.restoredAt) < rewriteTime {
+		maps.Copy(listed, c.entries)
 	}
+	for i := range objs {
+		o := &objs[i]
+		s, ok := c.entries[o.Name]
+		if !ok || outage || s.revision != o.Revision {
+			s = observation{o.Revision, now}
+		}
+		listed[o.Name] = s
+	}
+	return listed
+}
+
+// writeOwn writes this instance's entry when it is due (rule 1) or missing (rule 4).
+func (c *Counter) writeOwn(ctx context.Context, objs []hbs.Object) (err error) {
 	own := hbs.Object{Kind: Kind, Name: string(c.Self)}
 	found := false
 	for i := range objs {
@@ -157,6 +214,9 @@
 			own, found = objs[i], true
 		}
 	}
+	if found && !c.lastWritten.IsZero() && time.Since(c.lastWritten) < refreshInterval {
+		return nil
+	}
 	var e entryValue
 	if found {
 		// An entry that can't be decoded is overwritten.
--- a/presence/presence_test.go
+++ b/presence/presence_test.go
@@ -3,18 +3,24 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
 	hbs "github.com/hornbeamstage/hornbeamstage"
+	"github.com/hornbeamstage/hornbeamstage/knob"
+	"github.com/hornbeamstage/hornbeamstage/platform"
 	"github.com/hornbeamstage/hornbeamstage/presence"
+	"github.com/hornbeamstage/hornbeamstage/standin/memnet"
 	"github.com/hornbeamstage/hornbeamstage/standin/objects"
+	platformstandin "github.com/hornbeamstage/hornbeamstage/standin/platform"
 )
 
 var suite *testing.T
@@ -58,11 +64,47 @@
 	})
 }
 
+// withRestorableFleet is like withFleet, with a store that can be restored. f gets a copy
+// of it from before the counters began.
+func withRestorableFleet(n int, f func(fl *fleet, s *platformstandin.Platform, copied platformstandin.Copy)) {
+	synctest.Test(suite, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		fl := &fleet{WithT: NewWithT(t), ctx: ctx}
+		defer fl.wg.Wait()
+		defer cancel()
+		fabric := &memnet.Fabric{}
+		address := netip.MustParseAddrPort("10.0.0.1:80")
+		s := &platformstandin.Platform{Address: address, Network: fabric.Network("a")}
+		copied := s.Copy()
+		fl.wg.Go(func() { _ = s.Run(ctx) })
+		for i := range n {
+			client := &platform.Client{
+				Address: address, Network: fabric.Network("a"), Timeout: time.Second, Form: platform.FormObjects, WatchWait: time.Second,
+				ReadsPerSecond: 100, WritesPerSecond: 100, Policy: knob.NewFixed(platform.Knobs), Metrics: metrics.NewRegistry(),
+			}
+			fl.wg.Go(func() { _ = client.Run(ctx) })
+			c := fl.newCounter(fmt.Sprintf("i%d", i), client)
+			client.OnRestore = c.Wake
+			fl.run(c)
+		}
+		time.Sleep(startupTime)
+		f(fl, s, copied)
+	})
+}
+
 func (f *fleet) start(id string) {
 	client := &objects.Client{Store: &f.store}
-	c := &presence.Counter{Platform: client, Self: hbs.InstanceID(id), Log: zap.NewNop()}
+	f.clients = append(f.clients, client)
+	f.run(f.newCounter(id, client))
+}
+
+func (f *fleet) newCounter(id string, client hbs.Platform) *presence.Counter {
+	return &presence.Counter{Platform: client, Self: hbs.InstanceID(id), Log: zap.NewNop()}
+}
+
+func (f *fleet) run(c *presence.Counter) {
 	ctx, cancel := context.WithCancel(f.ctx)
-	f.counters, f.clients, f.cancels = append(f.counters, c), append(f.clients, client), append(f.cancels, cancel)
+	f.counters, f.cancels = append(f.counters, c), append(f.cancels, cancel)
 	f.wg.Go(func() { _ = c.Run(ctx) })
 }
 
@@ -120,6 +162,29 @@
 		})
 	})
 
+	// Guards against instances that take too large a part of what all may send (BUDGET,
+	// LIMIT): the entries of the others were lost.
+	It("keeps its count after the store was restored from a copy, and the entries are written again", func() {
+		withRestorableFleet(4, func(f *fleet, s *platformstandin.Platform, copied platformstandin.Copy) {
+			s.Restore(copied, time.Second, func() {})
+			for range 120 {
+				f.Expect(f.counts()).To(HaveEach(4))
+				time.Sleep(500 * time.Millisecond)
+			}
+			f.Expect(s.PeekAll(presence.Kind)).To(HaveLen(4))
+			f.Expect(f.counters[0].Others()).To(HaveLen(3))
+		})
+	})
+
+	It("stops counting instances that ended before the store was restored", func() {
+		withRestorableFleet(4, func(f *fleet, s *platformstandin.Platform, copied platformstandin.Copy) {
+			f.cancels[0]()
+			s.Restore(copied, time.Second, func() {})
+			time.Sleep(expiryTime)
+			f.Expect(f.counts()[1:]).To(HaveEach(3))
+		})
+	})
+
 	It("limits its calls to the store", func() {
 		withFleet(2, func(f *fleet) {
 			time.Sleep(10 * time.Minute)
--- a/quarantine/sharer.go
+++ b/quarantine/sharer.go
@@ -63,6 +63,9 @@
 	}
 }
 
+// Rewrite makes Run write the report again: the platform may have lost it.
+func (s *Sharer) Rewrite() { s.notify() }
+
 // Read records that all reports up to now were read.
 func (s *Sharer) Read() {
 	now := time.Now()
