gateway: requests in a planned stop get an answer

Callers lost requests, also such as may not be repeated, at the end of the grace time of a planned stop: their connections were closed without an answer (LOST).

Cause: connections were closed under running handlers, and net/http drops requests on new connections while it shuts down.

At nine tenths of the grace time those that still run end with an answer. network.Server drains without http.Server.Shutdown, so that its handler can refuse.

--- a/gateway/assemble.go
+++ b/gateway/assemble.go
@@ -154,6 +154,7 @@
 		metrics: g.Metrics, log: g.Log.Named("request"), stopping: g.stopping,
 	}
 	g.handler.bounds.Store(&g.PlatformSettings.Bounds)
+	g.handler.ended, g.handler.end = context.WithCancel(context.Background())
 }
 
 // assembleRollout builds the controller that brings engines to the published
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -38,7 +38,7 @@
 // serve runs the request and returns its outcome. The error is nil only if the
 // caller got an endpoint's response.
 func (x *exchange) serve(ctx context.Context) (hbs.Outcome, error) {
-	for _, step := range []func() error{x.readParams, x.match, x.authenticate, x.readBody} {
+	for _, step := range []func() error{x.readParams, x.checkOpen, x.match, x.authenticate, x.readBody, x.checkOpen} {
 		if err := step(); err != nil {
 			return hbs.OutcomeNotRun, err
 		}
@@ -60,6 +60,14 @@
 	return nil
 }
 
+// checkOpen refuses the request if the instance takes no further ones.
+func (x *exchange) checkOpen() error {
+	if x.h.closed.Load() {
+		return hbs.NotRun(hbs.ReasonStopping, "", stoppingRetryAfter)
+	}
+	return nil
+}
+
 // match finds the route. If the table may be stale, a missing route is not
 // reported as such; the request is refused with ReasonStarting instead, so that
 // the caller retries it.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -45,6 +45,9 @@
 	// drainShare is the fraction of the grace time in which running requests
 	// may complete.
 	drainShare = 0.95
+	// answerShare is the fraction of the grace time after which running requests are
+	// ended, so that their callers get an answer.
+	answerShare = 0.9
 )
 
 // Gateway is one instance. Its exported fields must be set before Run.
@@ -202,8 +205,8 @@
 }
 
 // stopGracefully waits for Stop, reports not ready and releases the lease for orders,
-// serves until the platform sends no new connections, and then lets running requests
-// complete.
+// serves until the platform sends no new connections, and then refuses requests and lets
+// running ones complete. At the end it ends those that still run.
 func (g *Gateway) stopGracefully(ctx context.Context, callers, readiness *network.Server) error {
 	select {
 	case <-g.stop:
@@ -211,14 +214,18 @@
 		return ctx.Err()
 	}
 	g.Log.Info("instance stops")
-	grace := time.Duration(drainShare * float64(g.handler.bounds.Load().Grace))
-	deadline := time.Now().Add(grace)
+	begun, whole := time.Now(), float64(g.handler.bounds.Load().Grace)
+	grace := time.Duration(drainShare * whole)
+	deadline := begun.Add(grace)
 	var wg conc.WaitGroup
 	defer wg.Wait()
 	wg.Go(func() { g.releaseLease(ctx, deadline) })
 	if err := delay.For(ctx, min(deregistrationDelay, grace)); err != nil {
 		return err
 	}
+	g.handler.closed.Store(true)
+	answerAt := begun.Add(time.Duration(answerShare * whole))
+	defer time.AfterFunc(time.Until(answerAt), g.handler.end).Stop()
 	err := callers.Drain(ctx, time.Until(deadline))
 	readiness.Close()
 	if err != nil {
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -28,6 +29,9 @@
 	// startingRetryAfter is the Retry-After of an instance that has no route
 	// table, or one that may be stale.
 	startingRetryAfter = 500 * time.Millisecond
+	// stoppingRetryAfter is the Retry-After of an instance that stops: another one takes
+	// the request at once.
+	stoppingRetryAfter = 10 * time.Millisecond
 	// defaultMaxBodyBytes applies if the operators publish no limit.
 	defaultMaxBodyBytes = 16 << 20
 )
@@ -41,6 +45,12 @@
 	metrics    metrics.Registry
 	log        *zap.Logger
 	stopping   func() bool
+	// closed is set when no further requests are taken, as callers should have gone
+	// elsewhere.
+	closed atomic.Bool
+	// ended ends when running requests have to end, with an answer.
+	ended context.Context
+	end   context.CancelFunc
 
 	mu sync.Mutex
 	// liveCounts has the number of live endpoints of each service in roster.
@@ -56,7 +66,13 @@
 	if h.stopping() {
 		w.Header().Set("Connection", "close")
 	}
-	outcome, err := x.serve(r.Context())
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	defer context.AfterFunc(h.ended, cancel)()
+	outcome, err := x.serve(ctx)
+	if err != nil && h.ended.Err() != nil && r.Context().Err() == nil {
+		err = stoppedRefusal(err)
+	}
 	x.finish(outcome, err)
 	if err != nil && x.sink.Started {
 		// Aborting the connection is the only way to tell the caller that the
@@ -65,6 +81,14 @@
 	}
 }
 
+// stoppedRefusal returns the refusal of a request that ended with err because the
+// instance stops.
+func stoppedRefusal(err error) *hbs.Refusal {
+	r := *hbs.AsRefusal(err)
+	r.Reason, r.RetryAfter = hbs.ReasonStopping, stoppingRetryAfter
+	return &r
+}
+
 // hasLiveEndpoint reports whether a service has a live endpoint.
 func (h *handler) hasLiveEndpoint(s hbs.ServiceName) bool {
 	r := h.directory.Roster()
--- a/network/inflight.go
+++ b/network/inflight.go
@@ -48,6 +48,13 @@
 	}
 }
 
+// running returns the number of running handlers.
+func (f *inflight) running() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.n
+}
+
 // wait blocks until no handler runs. It must be called only once, after the server
 // was closed.
 func (f *inflight) wait() {
--- a/network/server.go
+++ b/network/server.go
@@ -8,6 +8,8 @@
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
+
+	"github.com/hornbeamstage/hornbeamstage/delay"
 )
 
 // Server is an HTTP server on one listener.
@@ -57,16 +59,35 @@
 	return errors.Wrap(err, s.Name)
 }
 
-// Drain stops listening and waits for running requests, for at most grace. Then it
-// closes the remaining connections.
+const (
+	// drainPoll is the time between two looks whether requests still run.
+	drainPoll = 10 * time.Millisecond
+	// flushTime is the time in which the last responses are written to connections.
+	flushTime = 100 * time.Millisecond
+)
+
+// Drain closes idle connections, and the others after their responses, and waits for
+// running requests, for at most grace. Meanwhile the handler may refuse further ones:
+// http.Server.Shutdown drops those on connections that had no request yet. Then it stops
+// listening and closes the remaining connections. The error means that requests still
+// ran.
 func (s *Server) Drain(ctx context.Context, grace time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, grace)
 	defer cancel()
-	err := s.HTTP.Shutdown(ctx)
-	if err != nil {
+	s.HTTP.SetKeepAlivesEnabled(false)
+	for s.inflight.running() > 0 {
+		if err := delay.For(ctx, drainPoll); err != nil {
+			n := s.inflight.running()
+			s.Close()
+			return errors.Wrapf(err, "%d requests", n)
+		}
+	}
+	flush, cancelFlush := context.WithTimeout(ctx, flushTime)
+	defer cancelFlush()
+	if s.HTTP.Shutdown(flush) != nil {
 		s.Close()
 	}
-	return err
+	return nil
 }
 
 // Close closes the listener and all connections.
