roster: an endpoint that says in a response that it leaves gets no new work

Requests reached endpoints that had said that they leave (DRAIN), until their records said so, and for as long as the platform was away.

Cause: no code read the header. Change: rule 9. Responses to callers' requests, to polls of cache events, to orders and to reads of reports count. The roster lists the endpoint as leaving, which first attempts, retries, hedges, resumed streams, queued requests, rollouts and the choice among services go by, until it has another incarnation or address.

--- a/converge/converge.go
+++ b/converge/converge.go
@@ -30,6 +30,7 @@
 	"context"
 	"maps"
 	"math"
+	"net/http"
 	"slices"
 	"time"
 
@@ -76,6 +77,9 @@
 	// AnnounceChange announces to all instances that an engine is about to load a
 	// version.
 	AnnounceChange func(ctx context.Context, id hbs.EndpointID, version int64) error
+	// OnHeader is called with the header of each response of an engine to an order or a
+	// read of its report; may be nil.
+	OnHeader func(e *hbs.Endpoint, status int, h http.Header)
 	// OnWeightsReported is called with the new weights that an engine reports,
 	// usually before its record has them.
 	OnWeightsReported func(id hbs.EndpointID, was, now hbs.WeightsVersion)
--- a/converge/step.go
+++ b/converge/step.go
@@ -210,5 +210,9 @@
 func (s *step) call(method, path string, body []byte, guard order.Guard) order.Call {
 	h := http.Header{}
 	platform.SetExpectedEndpoint(h, s.engine.ID)
-	return order.Call{Network: s.Network, Address: s.engine.Address, Method: method, Path: path, Header: h, Body: body, Guard: guard}
+	c := order.Call{Network: s.Network, Address: s.engine.Address, Method: method, Path: path, Header: h, Body: body, Guard: guard}
+	if s.OnHeader != nil {
+		c.OnHeader = func(status int, h http.Header) { s.OnHeader(&s.engine, status, h) }
+	}
+	return c
 }
--- a/endpoint.go
+++ b/endpoint.go
@@ -210,8 +210,10 @@
 	Limited bool
 	// RequestsPerSecond is the limit, not negative; 0 unless Limited is set.
 	RequestsPerSecond float64
+	// Leaving is set if the endpoint leaves and takes no further requests.
+	Leaving bool
 	// Malformed is the header that can't be decoded, with its value; empty if there is
-	// none. The other fields don't tell then what the endpoint asks for.
+	// none. That Limited isn't set has no meaning then.
 	Malformed string
 }
 
--- a/gateway/assemble.go
+++ b/gateway/assemble.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	hbs "github.com/hornbeamstage/hornbeamstage"
@@ -140,7 +141,7 @@
 		EventTokens: g.routes.eventTokens,
 		CacheStore:  g.routes.kvStoreAddress,
 		CheckStart:  g.checkStart,
-		OnSignals:   g.fleet.ObserveSignals,
+		OnSignals:   g.observeSignals,
 		OnMismatch: func(e *hbs.Endpoint, r *platform.ResponseInfo) {
 			g.directory.SetReportedWeights(e.ID, e.Weights, r.Weights)
 		},
@@ -157,6 +158,23 @@
 	g.handler.ended, g.handler.end = context.WithCancel(context.Background())
 }
 
+// observeSignals records what an endpoint reports of itself in its response to an attempt
+// that began at began.
+func (g *Gateway) observeSignals(e *hbs.Endpoint, began time.Time, s hbs.EndpointSignals) {
+	if s.Leaving {
+		g.directory.ReportLeaving(e)
+	}
+	g.fleet.ObserveSignals(e, began, s)
+}
+
+// observeHeader records what an engine reports of itself in its response to another
+// call. Such a response names no limit while one holds.
+func (g *Gateway) observeHeader(e *hbs.Endpoint, status int, h http.Header) {
+	if status != http.StatusMisdirectedRequest && platform.DecodeSignals(h).Leaving {
+		g.directory.ReportLeaving(e)
+	}
+}
+
 // assembleRollout builds the controller that brings engines to the published
 // weights versions.
 func (g *Gateway) assembleRollout(self hbs.Instance) {
@@ -170,7 +188,7 @@
 	}
 	g.controller = &converge.Controller{
 		Self: self.ID, Lease: g.lease, Directory: g.directory, Network: g.Network, Metrics: g.Metrics,
-		Log: g.Log.Named("converge"), TargetVersion: g.versions.target, Suspended: g.Suspended, AnnounceChange: g.publishTarget,
+		Log: g.Log.Named("converge"), OnHeader: g.observeHeader, TargetVersion: g.versions.target, Suspended: g.Suspended, AnnounceChange: g.publishTarget,
 		OnWeightsReported: g.directory.SetReportedWeights, OrderLifetime: g.orderLifetime(),
 	}
 }
--- a/gateway/cacheevents.go
+++ b/gateway/cacheevents.go
@@ -83,7 +83,7 @@
 			continue
 		}
 		listed[e.ID] = true
-		c.startReader(ctx, e.ID, &cacheReader{source: e.Address, expect: e.ID, sink: &engineSink{c.fleet, e.ID}})
+		c.startReader(ctx, e.ID, &cacheReader{source: e.Address, engine: e, sink: &engineSink{c.fleet, e.ID}})
 	}
 	if store := c.routes.kvStoreAddress(); store.IsValid() {
 		id := hbs.EndpointID(store.String())
@@ -153,9 +153,9 @@
 type cacheReader struct {
 	*cacheReaders
 	source netip.AddrPort
-	// expect is the ID of the engine that must answer at source; empty for the
-	// KV cache store.
-	expect hbs.EndpointID
+	// engine is the engine that must answer at source, as it was when the reader was
+	// started; nil for the KV cache store.
+	engine *hbs.Endpoint
 	sink   cacheSink
 	// cancel stops the reader.
 	cancel context.CancelFunc
@@ -210,14 +210,17 @@
 		return p, err
 	}
 	platform.SetCacheWait(q.Header, cachePollWait)
-	if r.expect != "" {
-		platform.SetExpectedEndpoint(q.Header, r.expect)
+	if r.engine != nil {
+		platform.SetExpectedEndpoint(q.Header, r.engine.ID)
 	}
 	res, err := r.client.Do(q)
 	if err != nil {
 		return p, err
 	}
 	defer res.Body.Close()
+	if r.engine != nil {
+		r.observeHeader(r.engine, res.StatusCode, res.Header)
+	}
 	body, err := network.ReadBody(res.Body, maxCachePageBytes)
 	switch {
 	case err != nil:
--- a/gateway/restored_test.go
+++ b/gateway/restored_test.go
@@ -239,11 +239,11 @@
 			f.Expect(gone.Runs()).To(HaveLen(before))
 		})
 	},
-		Entry("in its own word", func(_ *fleet, e *pool.Endpoint) { e.Drain() }),
-		Entry("and its record was removed", func(f *fleet, e *pool.Endpoint) {
+		Entry("by draining", func(_ *fleet, e *pool.Endpoint) { e.Drain() }),
+		Entry("as its record was removed", func(f *fleet, e *pool.Endpoint) {
 			f.store.Remove(platform.KindEndpoints, string(e.ID))
 		}),
-		Entry("in its own word, and its record was removed", func(f *fleet, e *pool.Endpoint) {
+		Entry("by draining, and its record was removed", func(f *fleet, e *pool.Endpoint) {
 			e.Drain()
 			time.Sleep(settleTime)
 			f.store.Remove(platform.KindEndpoints, string(e.ID))
--- a/order/call.go
+++ b/order/call.go
@@ -29,6 +29,8 @@
 	// Guard is called for each write to the connection (O2, and L7 of package
 	// lease).
 	Guard Guard
+	// OnHeader is called with the header of the response; may be nil.
+	OnHeader func(status int, h http.Header)
 }
 
 // Do sends the request and returns the status and body of the response. If only
@@ -49,6 +51,9 @@
 		return 0, nil, err
 	}
 	defer resp.Body.Close()
+	if c.OnHeader != nil {
+		c.OnHeader(resp.StatusCode, resp.Header)
+	}
 	body, err = network.ReadBody(resp.Body, maxStateBytes)
 	return resp.StatusCode, body, err
 }
--- a/roster/departure.go
+++ b/roster/departure.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"net/netip"
 	"time"
 
 	"go.uber.org/zap"
@@ -17,6 +18,45 @@
 	copiedRecordTime = 20 * time.Second
 )
 
+// leavingReport is the incarnation of an endpoint that said that it leaves, its address,
+// and when it said so.
+type leavingReport struct {
+	incarnation hbs.Incarnation
+	address     netip.AddrPort
+	at          time.Time
+}
+
+// saidLeaving reports whether this incarnation of e said that it leaves. The caller holds
+// mu.
+func (d *Directory) saidLeaving(e *hbs.Endpoint) bool {
+	r, ok := d.leaving[e.ID]
+	return ok && r.incarnation == e.Incarnation && r.address == e.Address
+}
+
+// ReportLeaving records that an endpoint, as it was in the roster then, said in a response
+// that it leaves (rule 9).
+func (d *Directory) ReportLeaving(e *hbs.Endpoint) {
+	d.init()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now, ok := d.records[e.ID]
+	if !ok || now.Incarnation != e.Incarnation || now.Address != e.Address || d.saidLeaving(e) {
+		return
+	}
+	d.leaving[e.ID] = leavingReport{e.Incarnation, e.Address, time.Now()}
+	if d.Log != nil {
+		d.Log.Info("endpoint says that it leaves", zap.String("endpoint", string(e.ID)), zap.String("service", string(e.Service)),
+			zap.String("incarnation", string(e.Incarnation)), zap.String("state", string(now.State)))
+	}
+	d.publish()
+}
+
+// hasLeft reports whether an endpoint gets no new work whatever its record says (rules 8
+// and 9). The caller holds mu.
+func (d *Directory) hasLeft(e *hbs.Endpoint) bool {
+	return d.copied(e.ID) || d.saidLeaving(e)
+}
+
 // departure is what is known of an endpoint that left (rule 8).
 type departure struct {
 	incarnation hbs.Incarnation
@@ -68,6 +108,11 @@
 // expireDepartures forgets old departures. It reports whether records are used again
 // therefore. The caller holds mu.
 func (d *Directory) expireDepartures(now time.Time) (changed bool) {
+	for id, r := range d.leaving {
+		if _, listed := d.records[id]; !listed && now.Sub(r.at) > departureTTL {
+			delete(d.leaving, id)
+		}
+	}
 	for id, known := range d.departures {
 		if known.copiedAt.IsZero() && now.Sub(known.at) > departureTTL {
 			delete(d.departures, id)
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -27,6 +27,8 @@
 //     incarnation of an endpoint that left before the restore is leaving, unless its
 //     record has more heartbeats than before or stays for copiedRecordTime: the
 //     platform removes a record without heartbeats.
+//  9. An endpoint that says in a response that it leaves gets no new work, whatever
+//     its record says, as long as it has the same incarnation and address.
 package roster
 
 import (
@@ -82,8 +84,10 @@
 	recoveredAt time.Time
 	// departures has the endpoints that left within departureTTL (rule 8).
 	departures map[hbs.EndpointID]*departure
-	roster     *hbs.Roster
-	changed    notification.Signal
+	// leaving has the endpoints that said that they leave (rule 9).
+	leaving map[hbs.EndpointID]leavingReport
+	roster  *hbs.Roster
+	changed notification.Signal
 }
 
 // pendingChange is an announced change of an engine's weights.
@@ -100,6 +104,7 @@
 		d.missing = map[hbs.EndpointID]time.Time{}
 		d.changes = map[hbs.EndpointID]pendingChange{}
 		d.departures = map[hbs.EndpointID]*departure{}
+		d.leaving = map[hbs.EndpointID]leavingReport{}
 		d.roster = &hbs.Roster{Instances: []hbs.Instance{d.Self}}
 	})
 }
@@ -141,6 +146,9 @@
 func (d *Directory) put(e hbs.Endpoint) {
 	d.records[e.ID] = e
 	delete(d.missing, e.ID)
+	if !d.saidLeaving(&e) {
+		delete(d.leaving, e.ID)
+	}
 	d.trackDeparture(&e, time.Now())
 }
 
@@ -282,7 +290,7 @@
 		if d.weights[id].excluded() {
 			e.State = hbs.StateDraining
 		}
-		if d.copied(id) { // rule 8
+		if d.hasLeft(&e) {
 			e.State = hbs.StateLeaving
 		}
 		r.Endpoints = append(r.Endpoints, e)
--- a/roster/weights.go
+++ b/roster/weights.go
@@ -35,7 +35,7 @@
 	best := map[hbs.ModelName]usability{}
 	now := time.Now()
 	for id, e := range d.records {
-		if e.Kind != hbs.KindEngine || e.State != hbs.StateLive || d.copied(id) {
+		if e.Kind != hbs.KindEngine || e.State != hbs.StateLive || d.hasLeft(&e) {
 			continue
 		}
 		if c, ok := d.changes[id]; ok && c.from == e.Weights && now.Before(c.until) {
--- a/standin/pool/pool.go
+++ b/standin/pool/pool.go
@@ -56,6 +56,11 @@
 	// every response to a caller's request, as text; empty means none. The endpoint
 	// doesn't enforce it.
 	Limit string
+	// Leaving says in every response to requests, orders, polls and reports that the
+	// endpoint leaves. Its record doesn't change.
+	Leaving bool
+	// RetryAfter is the header Retry-After of refused requests; empty means none.
+	RetryAfter string
 	// DropOrderAnswer accepts orders but aborts the connection instead of answering.
 	DropOrderAnswer bool
 	// Busy refuses orders as if another one were in progress.
@@ -101,6 +106,8 @@
 	loading bool
 	// canceled counts requests whose caller disconnected before the end.
 	canceled int
+	// shed counts requests that were refused because of Shed or a change of weights.
+	shed int
 	// crashes has the time of each crash. crash ends the incarnation that serves; it
 	// is nil while none does.
 	crashes []time.Time
@@ -216,6 +223,14 @@
 	return e.canceled
 }
 
+// Shed returns the number of requests that were refused without being executed, other
+// than those for other endpoints or weights.
+func (e *Endpoint) Shed() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.shed
+}
+
 // Crashes returns the time of each crash.
 func (e *Endpoint) Crashes() []time.Time {
 	e.mu.Lock()
@@ -275,7 +290,7 @@
 	m.HandleFunc("GET /v1/kv-events", e.serveCacheEvents)
 	m.HandleFunc("/", e.serveRequest)
 	var wg conc.WaitGroup
-	srv := &http.Server{Handler: endless.Handler(ctx, &wg, e.endless, m)}
+	srv := &http.Server{Handler: endless.Handler(ctx, &wg, e.endless, e.announce(m))}
 	wg.Go(func() { _ = srv.Serve(l) })
 	<-ctx.Done()
 	srv.Close()
@@ -283,6 +298,19 @@
 	return ctx.Err()
 }
 
+// announce adds to all responses of h that the endpoint leaves, if it does.
+func (e *Endpoint) announce(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.mu.Lock()
+		leaving := e.faults.Leaving
+		e.mu.Unlock()
+		if leaving {
+			w.Header().Set("Server-Leaving", "1")
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 // endless returns the response without an end to the next request, if there is one.
 func (e *Endpoint) endless() (r endless.Response, rate endless.Rate, ok bool) {
 	e.mu.Lock()
@@ -394,6 +422,10 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return 0, true, f
 	case e.faults.Shed || e.loading:
+		e.shed++
+		if e.faults.RetryAfter != "" {
+			w.Header().Set("Retry-After", e.faults.RetryAfter)
+		}
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return 0, true, f
