placement: an endpoint that refuses with Retry-After gets nothing until then

Requests reached endpoints in the time for which they had asked for none (BUDGET), and callers were told to come back after a second while no endpoint of their route took any.

Cause: Retry-After of an endpoint's 503 was not read; a refusal closed an endpoint for 0.2 s, whatever it said.

Change: package backpressure keeps the end of that time, which a later response doesn't shorten and which ends with a spread. A request that finds all endpoints paused is refused at once, as not run, with the time until the first of them is back.

--- a/admission/dispatch.go
+++ b/admission/dispatch.go
@@ -54,7 +54,7 @@
 	case errors.Is(err, hbs.ErrFull):
 		return false
 	case err != nil:
-		q.refuse(w, hbs.NotRun(hbs.ReasonNoEndpoint, "", minRetryAfter))
+		q.refuse(w, notPlaced(err))
 		return true
 	}
 	if r := q.lateRefusal(w, &p); r != nil {
@@ -71,6 +71,15 @@
 	return true
 }
 
+// notPlaced returns the refusal of a request for which there is no endpoint.
+func notPlaced(err error) *hbs.Refusal {
+	var closed *hbs.ClosedError
+	if errors.As(err, &closed) {
+		return hbs.NotRun(hbs.ReasonNoEndpoint, err.Error(), max(time.Until(closed.Opens), minRetryAfter))
+	}
+	return hbs.NotRun(hbs.ReasonNoEndpoint, "", minRetryAfter)
+}
+
 // place calls the Placer and counts the attempt as running. For long work it
 // enforces the limit of rule 5.
 func (q *queue) place(w *waiter, avoid []hbs.EndpointID) (hbs.Placement, error) {
--- a/backpressure/backpressure.go
+++ b/backpressure/backpressure.go
@@ -15,6 +15,9 @@
 //     limit still holds. It may do so in a short slot after a wait that grows with the
 //     number of such instances, so that few of them send at the same time however long
 //     none had a request for the endpoint.
+//  4. An endpoint that refuses a request may want none from this instance for some time.
+//     A later response doesn't shorten it. It ends with a delay drawn at random, so that
+//     instances don't come back at the same moment.
 package backpressure
 
 import (
@@ -31,6 +34,9 @@
 	// Shares divides limits between the instances; not nil.
 	Shares *Shares
 
+	// pausedUntil is the end of the time in which the endpoint wants no requests from
+	// this instance (rule 4).
+	pausedUntil time.Time
 	// limited is set while a limit holds. limit is its value, namedAt when a response
 	// last named it.
 	limited bool
@@ -50,15 +56,43 @@
 // leave.
 const shareInterval = time.Second
 
+// maxSpread and spreadShare, of the pause, bound the delay of rule 4.
+const (
+	maxSpread   = time.Second
+	spreadShare = 0.1
+)
+
+// pause records that the endpoint wants no requests for d. It reports whether that
+// prolongs the time.
+func (s *State) pause(now time.Time, d time.Duration) bool {
+	if d <= 0 || !now.Add(d).After(s.pausedUntil) {
+		return false
+	}
+	spread := min(maxSpread, time.Duration(spreadShare*float64(d)))
+	s.pausedUntil = now.Add(d + rand.N(spread+1))
+	return true
+}
+
+// Paused returns the end of the time in which the endpoint wants no requests from this
+// instance; ok is false if it takes some now.
+func (s *State) Paused(now time.Time) (until time.Time, ok bool) {
+	return s.pausedUntil, s.pausedUntil.After(now)
+}
+
 // Observe records what the endpoint reported at now in the response to a request that was
-// sent at sent. It reports whether a limit began, changed or ended.
+// sent at sent. It reports whether a limit began, changed or ended, or a pause began.
 func (s *State) Observe(now, sent time.Time, signals hbs.EndpointSignals) (changed bool) {
+	paused := s.pause(now, signals.PauseFor)
+	return s.observeLimit(now, sent, signals) || paused
+}
+
+func (s *State) observeLimit(now, sent time.Time, signals hbs.EndpointSignals) (changed bool) {
 	switch {
-	case signals.Malformed != "":
-		return false
 	case signals.Limited:
 		changed = !s.limited || s.limit != signals.RequestsPerSecond
 		s.name(now, signals.RequestsPerSecond)
+	case signals.Malformed != "":
+		return false
 	case s.limited && sent.After(s.namedAt): // rule 1
 		changed, s.limited = true, false
 	}
--- a/backpressure/backpressure_test.go
+++ b/backpressure/backpressure_test.go
@@ -221,3 +221,36 @@
 		})
 	})
 })
+
+var _ = Describe("a pause", func() {
+	refusal := func(d time.Duration) hbs.EndpointSignals { return hbs.EndpointSignals{PauseFor: d} }
+
+	It("lasts as long as the endpoint said, and is not shortened (rule 4)", func() {
+		inBubble(func(w *WithT) {
+			s := newGroup(1, "e").members[0].state
+			now := time.Now()
+			w.Expect(s.Observe(now, now, refusal(10*time.Second))).To(BeTrue())
+			w.Expect(s.Observe(now, now, refusal(time.Second))).To(BeFalse())
+			s.Observe(now, now, hbs.EndpointSignals{})
+			until, paused := s.Paused(now.Add(10*time.Second - 1))
+			w.Expect(paused).To(BeTrue())
+			w.Expect(until).To(BeTemporally("~", now.Add(10*time.Second), time.Second))
+			_, paused = s.Paused(now.Add(11 * time.Second))
+			w.Expect(paused).To(BeFalse())
+		})
+	})
+
+	It("ends at different moments at different instances (rule 4)", func() {
+		inBubble(func(w *WithT) {
+			ends := map[time.Time]bool{}
+			now := time.Now()
+			for _, m := range newGroup(60, "e").members {
+				m.state.Observe(now, now, refusal(5*time.Second))
+				until, _ := m.state.Paused(now)
+				w.Expect(until).To(BeTemporally(">=", now.Add(5*time.Second)))
+				ends[until] = true
+			}
+			w.Expect(len(ends)).To(BeNumerically(">", 50))
+		})
+	})
+})
--- a/endpoint.go
+++ b/endpoint.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"net/netip"
 	"slices"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -212,6 +213,9 @@
 	RequestsPerSecond float64
 	// Leaving is set if the endpoint leaves and takes no further requests.
 	Leaving bool
+	// PauseFor is how long the endpoint wants no further requests from this instance; 0
+	// unless it refused the request and said so.
+	PauseFor time.Duration
 	// Malformed is the header that can't be decoded, with its value; empty if there is
 	// none. That Limited isn't set has no meaning then.
 	Malformed string
--- a/errors.go
+++ b/errors.go
@@ -1,6 +1,10 @@
 package hornbeamstage
 
-import "github.com/cockroachdb/errors"
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
 
 // Errors returned by a Placer.
 var (
@@ -29,3 +33,16 @@
 	// write may have taken effect or may still take effect later.
 	ErrUncertain = errors.New("platform call uncertain")
 )
+
+// ClosedError is the ErrNoEndpoint of a Placer whose usable endpoints want no requests for
+// some time.
+type ClosedError struct {
+	// Opens is when the first of them may be sent requests again.
+	Opens time.Time
+}
+
+// Error implements error.
+func (e *ClosedError) Error() string { return "all endpoints want no requests for now" }
+
+// Unwrap returns ErrNoEndpoint.
+func (e *ClosedError) Unwrap() error { return ErrNoEndpoint }
--- a/gateway/assemble.go
+++ b/gateway/assemble.go
@@ -170,7 +170,7 @@
 // observeHeader records what an engine reports of itself in its response to another
 // call. Such a response names no limit while one holds.
 func (g *Gateway) observeHeader(e *hbs.Endpoint, status int, h http.Header) {
-	if status != http.StatusMisdirectedRequest && platform.DecodeSignals(h).Leaving {
+	if status != http.StatusMisdirectedRequest && platform.DecodeSignals(status, h).Leaving {
 		g.directory.ReportLeaving(e)
 	}
 }
--- a/gateway/ratelimit_test.go
+++ b/gateway/ratelimit_test.go
@@ -42,7 +42,7 @@
 			next := c(n % len(f.instances))
 			next.id = fmt.Sprintf("limited%d-%d", start.UnixNano(), n)
 			if next.header != nil {
-				next.header["X-Prefix-Hash"] = fmt.Sprintf("a%d:300", n)
+				next.header["X-Prefix-Hash"] = fmt.Sprintf("a%x:300", start.UnixNano()+int64(n))
 			}
 			f.send(next)
 		})
--- a/placement/cost.go
+++ b/placement/cost.go
@@ -28,7 +28,13 @@
 		if avoided(&m.rec, avoid) {
 			continue
 		}
-		next := m.pressure.Next(now) // rule 12
+		if until, paused := m.pressure.Paused(now); paused { // rule 12
+			if p.opens.IsZero() || until.Before(p.opens) {
+				p.opens = until
+			}
+			continue
+		}
+		next := m.pressure.Next(now)
 		if !canWait(req, next) {
 			continue
 		}
--- a/placement/meters.go
+++ b/placement/meters.go
@@ -20,7 +20,7 @@
 	{Name: "placement_keeps", Kind: hbs.MeterCounter, Unit: hbs.UnitCount, Title: "attempts whose engine is asked to put a prefix into the shared KV cache store", Action: "None."},
 	{Name: "placement_beliefs", Kind: hbs.MeterGauge, Unit: hbs.UnitCount, Title: "prefixes believed to be cached on endpoints", Action: "Near placement.belief_entries: raise that setting."},
 	{Name: "placement_ejected", Kind: hbs.MeterGauge, Unit: hbs.UnitCount, Title: "endpoints that get one attempt at a time because they are slow", Action: "The same endpoint for minutes: check its machine."},
-	{Name: "placement_limited", Kind: hbs.MeterGauge, Unit: hbs.UnitCount, Title: "endpoints that name a limit of requests per second", Action: "Endpoints are in need: look for the log line endpoint's limit changed, and at their machines. Requests go to other endpoints, or wait."},
+	{Name: "placement_limited", Kind: hbs.MeterGauge, Unit: hbs.UnitCount, Title: "endpoints that name a limit of requests per second", Action: "Endpoints are in need: look for the log line what an endpoint takes changed, and at their machines. Requests go to other endpoints, or wait."},
 	{Name: "placement_lives", Kind: hbs.MeterCounter, Unit: hbs.UnitCount, Title: "restarts and changes of weights of endpoints", Action: "Many without a rollout: engines crash."},
 	{Name: "load_report_errors", Kind: hbs.MeterCounter, Unit: hbs.UnitCount, Title: "load reports that could not be read", Action: "Check the endpoints' /load; placement then counts only the outstanding work of the instance and its peers."},
 	{Name: "cache_events", Kind: hbs.MeterCounter, Unit: hbs.UnitCount, Title: "cache events applied", Action: "None."},
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -83,7 +83,8 @@
 //     prompt, and of the delay that it causes to other streams there, is
 //     multiplied by the ratio of the gap to the usual one.
 //  12. An endpoint gets no attempt before the time that package backpressure tells. A
-//     request that can't wait so long doesn't count on the endpoint.
+//     request that can't wait so long doesn't count on the endpoint, and no request
+//     waits for one that wants none for some time.
 type Placer struct {
 	Directory hbs.Directory
 	Policy    hbs.Policy
@@ -129,8 +130,11 @@
 	// decision numbers the decisions. A member whose decision field has the
 	// same number is a candidate of the current one.
 	decision uint64
-	roster   *hbs.Roster
-	members  map[hbs.EndpointID]*member
+	// opens is when the first endpoint that wanted no requests in the current decision
+	// takes some again; zero if there was none.
+	opens   time.Time
+	roster  *hbs.Roster
+	members map[hbs.EndpointID]*member
 	// byHash holds the members by their ID in digests, byGeneration by the
 	// number of their cache generation.
 	byHash       map[wireID]*member
@@ -188,10 +192,14 @@
 	}
 	p.refreshTuning(g, now)
 	g.evaluate(now)
+	p.opens = time.Time{}
 	m, err := p.choose(g, req, avoid, now)
 	switch err {
 	case hbs.ErrNoEndpoint:
 		p.meters.noEndpoint.Inc(1)
+		if !p.opens.IsZero() {
+			err = &hbs.ClosedError{Opens: p.opens}
+		}
 	case hbs.ErrFull:
 		p.meters.full.Inc(1)
 	}
--- a/placement/signals.go
+++ b/placement/signals.go
@@ -28,9 +28,10 @@
 	}
 	p.countLimited()
 	limit, limited := m.pressure.Limit()
-	p.Log.Info("endpoint's limit changed", zap.String("endpoint", string(e.ID)), zap.String("service", string(e.Service)),
-		zap.Bool("limited", limited), zap.Float64("from", was), zap.Float64("to", limit),
-		zap.Float64("own_share", m.pressure.Share()), zap.Duration("response_after", now.Sub(began)))
+	until, paused := m.pressure.Paused(now)
+	p.Log.Info("what an endpoint takes changed", zap.String("endpoint", string(e.ID)), zap.String("service", string(e.Service)),
+		zap.Bool("limited", limited), zap.Float64("from", was), zap.Float64("to", limit), zap.Float64("own_share", m.pressure.Share()),
+		zap.Bool("paused", paused), zap.Duration("paused_for", max(0, until.Sub(now))), zap.Duration("response_after", now.Sub(began)))
 }
 
 // countLimited updates the number of endpoints that name a limit.
