backpressure: no share of a limit while the other instances are not known

Cause: no other instance known was taken for none there. Change: until the first list an instance asks at times, like one without a share.

--- a/backpressure/backpressure.go
+++ b/backpressure/backpressure.go
@@ -11,7 +11,7 @@
 //     each with a token bucket for its share. Only so many of them have a share that
 //     all may send a request at the same time: those with the highest rendezvous
 //     hashes for the endpoint, which all instances compute alike.
-//  3. An instance without a share sends one request at times, to learn whether the
+//  3. An instance without a share, also while it doesn't know the others, sends one request at times, to learn whether the
 //     limit still holds. It may do so in a short slot after a wait that grows with the
 //     number of such instances, so that few of them send at the same time however long
 //     none had a request for the endpoint.
--- a/backpressure/backpressure_test.go
+++ b/backpressure/backpressure_test.go
@@ -50,16 +50,18 @@
 	signals hbs.EndpointSignals
 	// sent has the time of each request.
 	sent []time.Time
+	// known is set while the instances know each other.
+	known bool
 }
 
 func newGroup(n int, endpoint hbs.EndpointID) *group {
-	g := &group{}
+	g := &group{known: true}
 	for i := range n {
 		g.ids = append(g.ids, hbs.InstanceID(fmt.Sprintf("instance-%d", i)))
 	}
 	for i := range n {
 		others := slices.Delete(slices.Clone(g.ids), i, i+1)
-		shares := &backpressure.Shares{Self: g.ids[i], Others: func() []hbs.InstanceID { return others }}
+		shares := &backpressure.Shares{Self: g.ids[i], Others: func() ([]hbs.InstanceID, bool) { return others, g.known }}
 		g.members = append(g.members, &member{state: &backpressure.State{Endpoint: endpoint, Shares: shares}})
 	}
 	return g
@@ -205,6 +207,22 @@
 		}
 	})
 
+	// Guards against instances that have just started and take the whole limit (LIMIT).
+	It("is hardly used while the instances don't know each other", func() {
+		inBubble(func(w *WithT) {
+			const limit = 5
+			g := newGroup(7, "e")
+			g.known = false
+			g.tell(limited(limit))
+			g.play(rand.New(rand.NewPCG(1, 1)), 20*time.Second, 2)
+			w.Expect(len(g.sent)).To(BeNumerically("<", 20*limit/2))
+			g.known = true
+			g.play(rand.New(rand.NewPCG(1, 2)), 20*time.Second, 2)
+			w.Expect(len(g.sent)).To(BeNumerically(">", 20*limit/2))
+			w.Expect(float64(g.most())).To(BeNumerically("<=", allowed(limit)))
+		})
+	})
+
 	It("is not charged for a request that was not sent", func() {
 		inBubble(func(w *WithT) {
 			g := newGroup(60, "e")
--- a/backpressure/share.go
+++ b/backpressure/share.go
@@ -21,13 +21,16 @@
 	probeRate  = 0.1
 	// probeSlot is how long such an instance may send its request after its wait.
 	probeSlot = time.Second
+	// unknownProbeWait is the mean time between two of these slots while the number of
+	// instances is not known.
+	unknownProbeWait = 10 * time.Second
 )
 
 // Shares divides limits between the instances. Its fields must be set before use.
 type Shares struct {
 	Self hbs.InstanceID
-	// Others returns the other instances that are known.
-	Others func() []hbs.InstanceID
+	// Others returns the other instances; ok is false while they are not known.
+	Others func() (ids []hbs.InstanceID, ok bool)
 }
 
 // share is the part of a limit that one instance has.
@@ -40,9 +43,13 @@
 	probeWait time.Duration
 }
 
-// of returns this instance's share of an endpoint's limit (rules 2 and 3).
+// of returns this instance's share of an endpoint's limit (rules 2 and 3). It has none
+// while it doesn't know the others.
 func (s *Shares) of(e hbs.EndpointID, limit float64) share {
-	others := s.Others()
+	others, ok := s.Others()
+	if !ok {
+		return share{probeWait: unknownProbeWait}
+	}
 	instances, ahead := 1+len(others), 0
 	mine := rank(e, s.Self)
 	for _, id := range others {
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -110,8 +110,8 @@
 	// there is one.
 	HasStore func() bool
 	// Others returns the other instances, which share what endpoints take from all of
-	// them; nil means those in the roster.
-	Others func() []hbs.InstanceID
+	// them; ok is false while they are not known. nil means those in the roster.
+	Others func() (ids []hbs.InstanceID, ok bool)
 	// TransferRate returns how many tokens of KV cache per second an engine of the
 	// service loads from another engine, 0 where engines cannot do that. A nil
 	// TransferRate means 0.
--- a/placement/signals.go
+++ b/placement/signals.go
@@ -46,13 +46,13 @@
 }
 
 // othersInRoster returns the other live instances. The caller holds mu.
-func (p *Placer) othersInRoster() (ids []hbs.InstanceID) {
+func (p *Placer) othersInRoster() (ids []hbs.InstanceID, ok bool) {
 	for i := range p.roster.Instances {
 		if in := &p.roster.Instances[i]; in.ID != p.Self.ID && in.State == hbs.InstanceLive {
 			ids = append(ids, in.ID)
 		}
 	}
-	return ids
+	return ids, true
 }
 
 // canWait reports whether a request may wait until at for its attempt.
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -100,11 +100,12 @@
 	return c.count
 }
 
-// Others returns the other instances that count. The caller must not change the slice.
-func (c *Counter) Others() []hbs.InstanceID {
+// Others returns the other instances that count; ok is false before the first successful
+// read. The caller must not change the slice.
+func (c *Counter) Others() (ids []hbs.InstanceID, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.known
+	return c.known, c.count > 0
 }
 
 func (c *Counter) init() {
--- a/presence/presence_test.go
+++ b/presence/presence_test.go
@@ -172,7 +172,9 @@
 				time.Sleep(500 * time.Millisecond)
 			}
 			f.Expect(s.PeekAll(presence.Kind)).To(HaveLen(4))
-			f.Expect(f.counters[0].Others()).To(HaveLen(3))
+			others, ok := f.counters[0].Others()
+			f.Expect(ok).To(BeTrue())
+			f.Expect(others).To(HaveLen(3))
 		})
 	})
 
