--- a/backpressure/backpressure.go
+++ b/backpressure/backpressure.go
@@ -11,10 +11,11 @@
 //     each with a token bucket for its share. Only so many of them have a share that
 //     all may send a request at the same time: those with the highest rendezvous
 //     hashes for the endpoint, which all instances compute alike.
-//  3. An instance without a share, also while it doesn't know the others, sends one request at times, to learn whether the
-//     limit still holds. It may do so in a short slot after a wait that grows with the
-//     number of such instances, so that few of them send at the same time however long
-//     none had a request for the endpoint.
+//  3. An instance has no share either while it doesn't know the others. One without a
+//     share sends a request at times, to learn whether the limit still holds. It may do
+//     so in a short slot after a wait that grows with the number of such instances, so
+//     that few of them send at the same time however long none had a request for the
+//     endpoint.
 //  4. An endpoint that refuses a request may want none from this instance for some time.
 //     A later response doesn't shorten it. It ends with a delay drawn at random, so that
 //     instances don't come back at the same moment.
@@ -27,8 +28,8 @@
 	hbs "github.com/hornbeamstage/hornbeamstage"
 )
 
-// State is what one incarnation of an endpoint asked of the instances. Its fields must
-// be set before use.
+// State is what one incarnation of an endpoint asked for. Its exported fields must be set
+// before use.
 type State struct {
 	Endpoint hbs.EndpointID
 	// Shares divides limits between the instances; not nil.
@@ -141,7 +142,7 @@
 	if s.share.rate > 0 {
 		return s.bucket.next(now)
 	}
-	for now.Sub(s.probeAt) > probeSlot { // rule 3
+	if now.Sub(s.probeAt) > probeSlot { // rule 3
 		s.delayProbe(now)
 	}
 	return s.probeAt
