roster: the number of heartbeats is compared as it was written

A number beyond the range of int64, which another writer may leave in a record, became another one on each kind of processor. Found by reading.

--- a/endpoint.go
+++ b/endpoint.go
@@ -113,7 +113,7 @@
 	Revision Revision `json:"-" cbor:"-" toml:"-"`
 	// Heartbeats is the number of heartbeats that the endpoint's incarnation had sent when
 	// the record was written; 0 where the platform doesn't tell.
-	Heartbeats int64 `json:"-" cbor:"-" toml:"-"`
+	Heartbeats float64 `json:"-" cbor:"-" toml:"-"`
 	// Rollout is the engine's state in the rollout of new weights. It is set only in
 	// a Roster.
 	Rollout Rollout `json:"-" cbor:"-" toml:"-"`
--- a/roster/departure.go
+++ b/roster/departure.go
@@ -60,7 +60,7 @@
 // departure is what is known of an endpoint that left (rule 8).
 type departure struct {
 	incarnation hbs.Incarnation
-	heartbeats  int64
+	heartbeats  float64
 	// restores is the number of restores of the store at the last record before.
 	restores uint64
 	at       time.Time
@@ -130,5 +130,5 @@
 		return
 	}
 	d.Log.Info("record of an endpoint that had left", zap.String("endpoint", string(e.ID)), zap.String("incarnation", string(e.Incarnation)),
-		zap.Int64("heartbeats", e.Heartbeats), zap.Int64("heartbeats_before", known.heartbeats), zap.Duration("left", now.Sub(known.at)))
+		zap.Float64("heartbeats", e.Heartbeats), zap.Float64("heartbeats_before", known.heartbeats), zap.Duration("left", now.Sub(known.at)))
 }
--- a/roster/departure_test.go
+++ b/roster/departure_test.go
@@ -14,7 +14,7 @@
 
 // beat returns the record of engine a with a number of heartbeats, in a store that was
 // restored so many times.
-func beat(incarnation hbs.Incarnation, heartbeats int64, restores uint64) hbs.Endpoint {
+func beat(incarnation hbs.Incarnation, heartbeats float64, restores uint64) hbs.Endpoint {
 	e := engine("a", "1")
 	e.Incarnation, e.Heartbeats, e.Revision = incarnation, heartbeats, hbs.RevisionAfter(restores, 7)
 	return e
