endpoint: one comparison of incarnations; lease: a comment is wrapped

Package placement, twice, and package roster, twice, compared the incarnation and the address of two records of an endpoint each by itself. Behaviour is unchanged; the specs of roster, placement and lease pass.

--- a/endpoint.go
+++ b/endpoint.go
@@ -127,6 +127,12 @@
 	return adapter == "" || slices.Contains(e.Adapters, adapter)
 }
 
+// SameIncarnation reports whether e and other are records of one incarnation of an
+// endpoint, at one address.
+func (e *Endpoint) SameIncarnation(other *Endpoint) bool {
+	return e.ID == other.ID && e.Incarnation == other.Incarnation && e.Address == other.Address
+}
+
 // Validate returns an error for the first invariant that e violates.
 func (e *Endpoint) Validate() (err error) {
 	defer func() { err = errors.Wrapf(err, "endpoint %q", e.ID) }()
--- a/lease/acquire.go
+++ b/lease/acquire.go
@@ -75,9 +75,9 @@
 // there is none, in a store that was restored so many times (L4, L8).
 func nextFence(last, restores uint64) uint64 { return max(last, restores<<restoreBits) + 1 }
 
-// acquire writes a new term after one with the fencing number last. If it is not known in time whether the write took
-// effect, there is no grant; if it did, later reads see a new revision, which
-// expires like any other.
+// acquire writes a new term after one with the fencing number last. If it is not known
+// in time whether the write took effect, there is no grant; if it did, later reads see a
+// new revision, which expires like any other.
 func (h *Holder) acquire(ctx context.Context, old hbs.Object, last uint64) {
 	restores := h.restores()
 	fence := nextFence(last, restores)
--- a/placement/roster.go
+++ b/placement/roster.go
@@ -64,7 +64,7 @@
 		p.members[e.ID] = m
 		p.byHash[wireID(m.hash)] = m
 	}
-	if m.rec.Incarnation != e.Incarnation || m.rec.Address != e.Address {
+	if !m.rec.SameIncarnation(e) {
 		m.pressure = backpressure.State{Endpoint: e.ID, Shares: &p.shares}
 	}
 	m.rec = *e
--- a/placement/signals.go
+++ b/placement/signals.go
@@ -15,7 +15,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	m := p.members[e.ID]
-	if m == nil || m.rec.Incarnation != e.Incarnation || m.rec.Address != e.Address {
+	if m == nil || !m.rec.SameIncarnation(e) {
 		return
 	}
 	if s.Malformed != "" {
--- a/roster/departure.go
+++ b/roster/departure.go
@@ -1,7 +1,6 @@
 package roster
 
 import (
-	"net/netip"
 	"time"
 
 	"go.uber.org/zap"
@@ -18,19 +17,17 @@
 	copiedRecordTime = 20 * time.Second
 )
 
-// leavingReport is the incarnation of an endpoint that said that it leaves, its address,
-// and when it said so.
+// leavingReport is the record of an endpoint when it said that it leaves, and the time.
 type leavingReport struct {
-	incarnation hbs.Incarnation
-	address     netip.AddrPort
-	at          time.Time
+	record hbs.Endpoint
+	at     time.Time
 }
 
 // saidLeaving reports whether this incarnation of e said that it leaves. The caller holds
 // mu.
 func (d *Directory) saidLeaving(e *hbs.Endpoint) bool {
 	r, ok := d.leaving[e.ID]
-	return ok && r.incarnation == e.Incarnation && r.address == e.Address
+	return ok && r.record.SameIncarnation(e)
 }
 
 // ReportLeaving records that an endpoint, as it was in the roster then, said in a response
@@ -40,10 +37,10 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now, ok := d.records[e.ID]
-	if !ok || now.Incarnation != e.Incarnation || now.Address != e.Address || d.saidLeaving(e) {
+	if !ok || !now.SameIncarnation(e) || d.saidLeaving(e) {
 		return
 	}
-	d.leaving[e.ID] = leavingReport{e.Incarnation, e.Address, time.Now()}
+	d.leaving[e.ID] = leavingReport{now, time.Now()}
 	if d.Log != nil {
 		d.Log.Info("endpoint says that it leaves", zap.String("endpoint", string(e.ID)), zap.String("service", string(e.Service)),
 			zap.String("incarnation", string(e.Incarnation)), zap.String("state", string(now.State)))
