presence: the count follows from the list of other instances

The counter kept both the other instances and their number. Now it keeps the list alone, nil before the first read. Behaviour is unchanged; its specs pass.

--- a/presence/presence.go
+++ b/presence/presence.go
@@ -62,10 +62,10 @@
 	// wake has an element while a poll was asked for.
 	wake chan struct{}
 
-	mu    sync.Mutex
-	count int
-	// known has the other instances that count. It is replaced, never changed.
-	known []hbs.InstanceID
+	mu sync.Mutex
+	// others has the other instances that count; nil before the first successful read.
+	// It is replaced, never changed.
+	others []hbs.InstanceID
 
 	// The fields below are used only by the goroutine of Run.
 
@@ -97,7 +97,10 @@
 func (c *Counter) Count() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.count
+	if c.others == nil {
+		return 0
+	}
+	return 1 + len(c.others)
 }
 
 // Others returns the other instances that count; ok is false before the first successful
@@ -105,7 +108,7 @@
 func (c *Counter) Others() (ids []hbs.InstanceID, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.known, c.count > 0
+	return c.others, c.others != nil
 }
 
 func (c *Counter) init() {
@@ -173,19 +176,19 @@
 	}
 	c.lastRead, c.restores = now, restores
 	c.entries = c.observe(objs, outage, now)
-	var known []hbs.InstanceID
+	others := []hbs.InstanceID{}
 	for name, s := range c.entries {
 		if name != string(c.Self) && now.Sub(s.firstRead) < entryTTL {
-			known = append(known, hbs.InstanceID(name))
+			others = append(others, hbs.InstanceID(name))
 		}
 	}
-	n := 1 + len(known)
+	before := c.Count()
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if n != c.count {
-		c.Log.Info("instance count changed", zap.Int("from", c.count), zap.Int("to", n))
+	c.others = others
+	c.mu.Unlock()
+	if n := c.Count(); n != before {
+		c.Log.Info("instance count changed", zap.Int("from", before), zap.Int("to", n))
 	}
-	c.count, c.known = n, known
 }
 
 // observe returns the entries in a listing (rules 2 and 3), with those that a restored
