gateway: specs share the request to the plain service and the choice of endpoints

Three spec files of limits, pauses and leaving endpoints each wrote the same request and the same choice between engines and services; one sent a request in a goroutine only to wait for it. The assertions are unchanged and pass.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -329,6 +329,18 @@
 	}}
 }
 
+// readCall returns an idempotent request to the plain service.
+func readCall(i int) call { return call{i: i, path: "/read/x"} }
+
+// endpointsOf returns the endpoints to which a request leads: engines if it names a
+// model, else the plain service's.
+func (f *fleet) endpointsOf(c call) []*pool.Endpoint {
+	if c.header["X-Model"] != "" {
+		return f.engines
+	}
+	return f.services
+}
+
 // streamEvents is the number of events of an engine's stream, cutAfter the number
 // that the caller gets of a stream that cutFirstStream cuts.
 const (
--- a/gateway/leaving_test.go
+++ b/gateway/leaving_test.go
@@ -28,14 +28,9 @@
 
 // Guards against requests to an endpoint after it has said that it leaves (DRAIN).
 var _ = Describe("an endpoint that says in its responses that it leaves", func() {
-	readCall := func(i int) call { return call{i: i, path: "/read/x"} }
-
 	DescribeTable("gets no further request", func(c func(i int) call, faults pool.Faults) {
 		withFleet(func(f *fleet) {
-			leaving := f.services[0]
-			if c(0).header != nil {
-				leaving = f.engines[0]
-			}
+			leaving := f.endpointsOf(c(0))[0]
 			faults.Leaving = true
 			leaving.Fail(faults)
 			f.sendEach(12, c)
@@ -68,9 +63,7 @@
 				e.Gap = 300 * time.Millisecond
 				e.Fail(pool.Faults{Leaving: true})
 			}
-			answers := make(chan response, 1)
-			f.wg.Go(func() { answers <- f.send(streamCall(0)) })
-			a := <-answers
+			a := f.send(streamCall(0))
 			f.Expect(a.err).NotTo(HaveOccurred())
 			f.Expect(a.body).To(Equal(wholeStream()))
 			f.fail(f.engines, pool.Faults{})
--- a/gateway/pause_test.go
+++ b/gateway/pause_test.go
@@ -22,14 +22,9 @@
 // Guards against requests that an endpoint gets in the time for which it wants none
 // (BUDGET): Retry-After was not read.
 var _ = Describe("an endpoint that refuses with Retry-After", func() {
-	readCall := func(i int) call { return call{i: i, path: "/read/x"} }
-
 	DescribeTable("gets no more than a few requests until then", func(c func(i int) call) {
 		withFleet(func(f *fleet) {
-			paused := f.services[0]
-			if c(0).header != nil {
-				paused = f.engines[0]
-			}
+			paused := f.endpointsOf(c(0))[0]
 			paused.Fail(pool.Faults{Shed: true, RetryAfter: "20"})
 			f.sendFor(2*time.Second, 20*time.Millisecond, c)
 			time.Sleep(pauseSlack)
--- a/gateway/ratelimit_test.go
+++ b/gateway/ratelimit_test.go
@@ -54,10 +54,7 @@
 // (LIMIT): each instance chose it by cost alone.
 var _ = DescribeTable("endpoints get no more than the limit that they name", func(limit float64, limited int, c func(i int) call) {
 	withFleet(func(f *fleet) {
-		all := f.engines
-		if c(0).header == nil {
-			all = f.services
-		}
+		all := f.endpointsOf(c(0))
 		f.fail(all[:limited], pool.Faults{Limit: fmt.Sprint(limit)})
 		start := time.Now()
 		f.sendFor(12*time.Second, 20*time.Millisecond, c)
@@ -71,5 +68,5 @@
 	Entry("all engines", 4.0, 4, streamCall),
 	Entry("an engine that takes less than one request a second", 0.3, 1, streamCall),
 	Entry("an engine that takes none", 0.0, 1, streamCall),
-	Entry("endpoints of a plain service", 5.0, 2, func(i int) call { return call{i: i, path: "/read/x"} }),
+	Entry("endpoints of a plain service", 5.0, 2, readCall),
 )
