Show that large bodies at once exceed an instance's memory

An instance reads the body of each request whole and keeps it until the request ends; nothing bounds the sum. The process exceeds its memory and is killed, and bookings that ran get no answer.

--- /dev/null
+++ b/review/probe/main.go
@@ -0,0 +1,67 @@
+// Command probe runs the cases of the review. Each case starts instances with the
+// command of the deploy file, and stand-ins of the platform's store, of endpoints and of
+// callers, on loopback addresses. It writes what was sent, answered and run to the file
+// record.txt of the case's folder.
+//
+// It exits with 1 if the rule was broken, 0 if it held and 2 if the case couldn't run.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+// The exit codes.
+const (
+	exitHeld   = 0
+	exitBroken = 1
+	exitNotRun = 2
+)
+
+// caseTimeout bounds a case.
+const caseTimeout = 110 * time.Second
+
+// cases has the function of each case. It reports whether the rule was broken.
+var cases = map[string]func(*scene) (broken bool, err error){
+	"memory": runMemory,
+}
+
+func main() { os.Exit(runCase()) }
+
+func runCase() int {
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: probe CASE FOLDER")
+		return exitNotRun
+	}
+	record, err := os.Create(filepath.Join(os.Args[2], "record.txt"))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "probe:", err)
+		return exitNotRun
+	}
+	defer record.Close()
+	temp, err := os.MkdirTemp("", "probe")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "probe:", err)
+		return exitNotRun
+	}
+	defer os.RemoveAll(temp)
+	ctx, cancel := context.WithTimeout(context.Background(), caseTimeout)
+	defer cancel()
+	s := &scene{ctx: ctx, temp: temp, record: record, began: time.Now(), trouble: os.Getenv("TROUBLE") != "0"}
+	defer s.close()
+	s.note("case %s, disruption: %v", os.Args[1], s.trouble)
+	broken, err := cases[os.Args[1]](s)
+	switch {
+	case err != nil:
+		s.note("could not run: %v", err)
+		return exitNotRun
+	case broken:
+		s.note("BROKEN")
+		return exitBroken
+	}
+	s.note("held")
+	return exitHeld
+}
