Show that an isolated tenant's cached parts stay shared

The cache salt of tenants that are not isolated is the version of the weights alone. The case isolates a tenant by a new config; 4 s later another tenant's prompts still use the part that the first one's request made.

--- a/review/probe/main.go
+++ b/review/probe/main.go
@@ -26,7 +26,8 @@
 
 // cases has the function of each case. It reports whether the rule was broken.
 var cases = map[string]func(*scene) (broken bool, err error){
-	"memory": runMemory,
+	"memory":    runMemory,
+	"isolation": runIsolation,
 }
 
 func main() { os.Exit(runCase()) }
