Show that a path with two slashes is changed on the way

The path is passed to net/http as an opaque URL, which gets the scheme in front if it begins with two slashes. The endpoint then sees another path, and a host of the caller's choice.

--- a/review/probe/main.go
+++ b/review/probe/main.go
@@ -28,6 +28,7 @@
 var cases = map[string]func(*scene) (broken bool, err error){
 	"memory":    runMemory,
 	"isolation": runIsolation,
+	"target":    runTarget,
 }
 
 func main() { os.Exit(runCase()) }
