Show that answers with a wrong status end a service at an instance

A status below 100 makes net/http's ResponseWriter panic. The panic is recovered, but the attempt's place at the endpoint is never released.

--- a/review/probe/endpoint.go
+++ b/review/probe/endpoint.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -42,6 +43,9 @@
 	cached map[string]string
 	// events has the cache events.
 	events [][]any
+	// spoil is the share of the answers whose status line is spoiled, spoiled their number.
+	spoil   float64
+	spoiled int
 }
 
 // run is one request that an endpoint ran.
@@ -143,6 +147,10 @@
 		return
 	}
 	h.Set("X-Instance-Stamp", fmt.Sprintf("%s.%d", e.id, n))
+	if e.spoils() {
+		spoilStatus(w, h, id)
+		return
+	}
 	if e.model == "" {
 		body := "done " + id + "\n"
 		h.Set("Content-Length", strconv.Itoa(len(body)))
@@ -204,3 +212,35 @@
 	defer e.mu.Unlock()
 	return append([]run(nil), e.runs...)
 }
+
+// setSpoil sets the share of the answers whose status line is spoiled. It returns the
+// number of those that were.
+func (e *endpoint) setSpoil(share float64) (spoiled int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.spoil = share
+	return e.spoiled
+}
+
+// spoils reports whether the next answer is spoiled.
+func (e *endpoint) spoils() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if rand.Float64() >= e.spoil {
+		return false
+	}
+	e.spoiled++
+	return true
+}
+
+// spoilStatus writes an answer whose status line has a wrong digit, and ends the
+// connection.
+func spoilStatus(w http.ResponseWriter, h http.Header, id string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	body := "done " + id + "\n"
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 000 OK\r\nX-Request-Id: %s\r\nX-Instance-Stamp: %s\r\nContent-Length: %d\r\n\r\n%s", id, h.Get("X-Instance-Stamp"), len(body), body)
+}
--- a/review/probe/main.go
+++ b/review/probe/main.go
@@ -29,6 +29,7 @@
 	"memory":    runMemory,
 	"isolation": runIsolation,
 	"target":    runTarget,
+	"status":    runStatus,
 }
 
 func main() { os.Exit(runCase()) }
