Show that an answer of status 101 is read without end

After a switch of protocols net/http no longer ends reads with the context, and an attempt reads such a response until it ends. The requests are never answered, and the process doesn't end at SIGTERM.

--- a/review/probe/endpoint.go
+++ b/review/probe/endpoint.go
@@ -44,8 +44,9 @@
 	// events has the cache events.
 	events [][]any
 	// spoil is the share of the answers whose status line is spoiled, spoiled their number.
-	spoil   float64
-	spoiled int
+	// endless is the share of those that have no end, endlessly their number.
+	spoil, endless     float64
+	spoiled, endlessly int
 }
 
 // run is one request that an endpoint ran.
@@ -151,6 +152,10 @@
 		spoilStatus(w, h, id)
 		return
 	}
+	if e.hasNoEnd() {
+		writeEndless(w, h, id)
+		return
+	}
 	if e.model == "" {
 		body := "done " + id + "\n"
 		h.Set("Content-Length", strconv.Itoa(len(body)))
@@ -244,3 +249,38 @@
 	body := "done " + id + "\n"
 	_, _ = fmt.Fprintf(conn, "HTTP/1.1 000 OK\r\nX-Request-Id: %s\r\nX-Instance-Stamp: %s\r\nContent-Length: %d\r\n\r\n%s", id, h.Get("X-Instance-Stamp"), len(body), body)
 }
+
+// setEndless sets the share of the answers that have no end. It returns the number of
+// those that had none.
+func (e *endpoint) setEndless(share float64) (n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.endless = share
+	return e.endlessly
+}
+
+// hasNoEnd reports whether the next answer has no end.
+func (e *endpoint) hasNoEnd() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if rand.Float64() >= e.endless {
+		return false
+	}
+	e.endlessly++
+	return true
+}
+
+// writeEndless writes a head that changes the protocol, which nobody asked for, and bytes
+// until the caller closes.
+func writeEndless(w http.ResponseWriter, h http.Header, id string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	_, err = fmt.Fprintf(conn, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\nX-Request-Id: %s\r\nX-Instance-Stamp: %s\r\n\r\n", id, h.Get("X-Instance-Stamp"))
+	for err == nil {
+		_, err = io.WriteString(conn, "x")
+		time.Sleep(200 * time.Millisecond)
+	}
+}
--- a/review/probe/main.go
+++ b/review/probe/main.go
@@ -30,6 +30,7 @@
 	"isolation": runIsolation,
 	"target":    runTarget,
 	"status":    runStatus,
+	"endless":   runEndless,
 }
 
 func main() { os.Exit(runCase()) }
