Share the callers' code of the review's cases, and fault twice in case 1

The callers of the cases stood in four places; they are one type. Case 1 lets the other two endpoints be faulty too, as 10 requests were close to the bound of 8.

--- a/review/probe/endless.go
+++ b/review/probe/endless.go
@@ -1,10 +1,7 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"sync"
 	"syscall"
@@ -17,19 +14,22 @@
 	routeTimeout = 1500 * time.Millisecond
 	answerSlack  = 500 * time.Millisecond
 	patience     = 20 * time.Second
+	// deadlineMS is the time that the callers name to the instance, in milliseconds.
+	deadlineMS = 15000
 	// endlessCallers is the number of callers, callPause the time between two requests
 	// of one, callTime how long they send.
 	endlessCallers = 40
 	callPause      = 100 * time.Millisecond
-	callTime       = 12 * time.Second
+	callTime       = 18 * time.Second
 	// grace is the time from SIGTERM to SIGKILL.
 	grace = 8 * time.Second
-	// faultAt is when the fault begins after the first request.
-	faultAt = 3 * time.Second
+	// faultPause is the time before each of the two faults.
+	faultPause = 2 * time.Second
 )
 
-// runEndless lets half of the endpoints answer a few requests with a head that changes
-// the protocol, and bytes without end, and measures when callers get an answer.
+// runEndless lets half of the endpoints, and then the others, answer a few requests with
+// a head that changes the protocol and bytes without end, and measures when callers get
+// an answer.
 func runEndless(s *scene) (broken bool, err error) {
 	if err := s.startStore(); err != nil {
 		return false, err
@@ -58,18 +58,11 @@
 		wg.Add(1)
 		go func() { defer wg.Done(); c.call(i) }()
 	}
-	time.Sleep(faultAt)
-	if s.trouble {
-		for _, e := range desks[:faultyApps] {
-			e.setEndless(spoilShare)
-			s.note("%s spoils %.2f of its answers", e.id, spoilShare)
+	for n := 0; n < apps; n += faultyApps {
+		time.Sleep(faultPause)
+		if s.trouble {
+			s.spoilEndlessly(desks[n : n+faultyApps])
 		}
-		time.Sleep(spoilTime)
-		spoiled := 0
-		for _, e := range desks {
-			spoiled += e.setEndless(0)
-		}
-		s.note("the fault ends, %d answers were spoiled", spoiled)
 	}
 	wg.Wait()
 	broken = c.judge()
@@ -77,12 +70,24 @@
 	return broken, nil
 }
 
+// spoilEndlessly makes endpoints faulty for spoilTime.
+func (s *scene) spoilEndlessly(faulty []*endpoint) {
+	for _, e := range faulty {
+		e.setEndless(spoilShare)
+		s.note("%s spoils %.2f of its answers", e.id, spoilShare)
+	}
+	time.Sleep(spoilTime)
+	for _, e := range faulty {
+		s.note("%s is sound again, %d answers were spoiled", e.id, e.setEndless(0))
+	}
+}
+
 // stopInstance stops the instance as the platform does, and notes whether it ended.
 func (c *endlessCase) stopInstance() {
 	c.note("platform: SIGTERM to process %d", c.p.pid())
 	_ = syscall.Kill(c.p.pid(), syscall.SIGTERM)
 	select {
-	case <-c.p.done:
+	case <-c.p.ended():
 	case <-time.After(grace):
 		c.note("platform: process %d still runs after %s, without a request of a caller: SIGKILL", c.p.pid(), grace)
 		c.p.kill()
@@ -104,16 +109,15 @@
 func (c *endlessCase) call(i int) {
 	until := time.Now().Add(callTime)
 	for n := 0; time.Now().Before(until); {
-		conn, err := net.Dial("tcp", c.p.callers.String())
+		conn, err := c.p.dial()
 		if err != nil {
 			c.note("no connection: %v", err)
 			return
 		}
-		r := bufio.NewReader(conn)
 		for again := true; again && time.Now().Before(until); {
 			time.Sleep(callPause)
 			n++
-			again = c.exchange(conn, r, fmt.Sprintf("q-%d-%d", i, n))
+			again = c.exchange(conn, fmt.Sprintf("q-%d-%d", i, n))
 		}
 		_ = conn.Close()
 	}
@@ -121,18 +125,10 @@
 
 // exchange sends a request and waits for its answer. It reports whether the connection
 // may be used again.
-func (c *endlessCase) exchange(conn net.Conn, r *bufio.Reader, id string) (again bool) {
+func (c *endlessCase) exchange(conn *connection, id string) (again bool) {
 	began := time.Now()
 	_ = conn.SetDeadline(began.Add(patience))
-	_, err := fmt.Fprintf(conn, "GET /status/x HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 15000\r\n\r\n", host, id)
-	status, closes := 0, true
-	if err == nil {
-		var res *http.Response
-		if res, err = http.ReadResponse(r, nil); err == nil {
-			_, err = io.Copy(io.Discard, res.Body)
-			status, closes = res.StatusCode, res.Close
-		}
-	}
+	status, again, err := conn.send(http.MethodGet, "/status/x", id, deadlineMS, "")
 	took := time.Since(began)
 	if status != http.StatusOK || err != nil {
 		c.note("request %s: status %d, error %v after %.3f s", id, status, err, took.Seconds())
@@ -146,7 +142,7 @@
 	if took > routeTimeout+answerSlack {
 		c.late++
 	}
-	return err == nil && !closes
+	return again
 }
 
 // judge applies the rule to the requests that lasted longer than the route's timeout.
--- a/review/probe/memory.go
+++ b/review/probe/memory.go
@@ -1,11 +1,9 @@
 package main
 
 import (
-	"bufio"
 	"bytes"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -26,6 +24,9 @@
 	bookers = 16
 	// bookWork is the time that an endpoint works on a request.
 	bookWork = 200 * time.Millisecond
+	// bookDeadlineMS is the time that the callers with small requests name to the
+	// instance, in milliseconds.
+	bookDeadlineMS = 1500
 	// restartDelay is the time after which the platform restarts a process.
 	restartDelay = 500 * time.Millisecond
 )
@@ -140,40 +141,34 @@
 // book sends small requests on one kept connection, one after the other.
 func (m *memoryCase) book(i int) {
 	for n := 0; !m.stopped(); {
-		conn, err := net.Dial("tcp", m.p.callers.String())
+		conn, err := m.p.dial()
 		if err != nil {
 			time.Sleep(50 * time.Millisecond)
 			continue
 		}
-		r := bufio.NewReader(conn)
-		for kept := false; !m.stopped(); kept = true {
+		for again := true; again && !m.stopped(); {
 			n++
 			id := fmt.Sprintf("book-%d-%d", i, n)
-			_, err := fmt.Fprintf(conn, "POST /book/x HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 1500\r\nContent-Length: 4\r\n\r\nbook", host, id)
-			if err != nil {
-				break
-			}
-			res, err := http.ReadResponse(r, nil)
-			if err != nil {
-				m.mu.Lock()
-				m.closed = append(m.closed, id)
-				m.mu.Unlock()
-				m.note("request %s, kept connection %v: connection closed without an answer: %v", id, kept, err)
-				break
-			}
-			_, err = io.Copy(io.Discard, res.Body)
-			m.mu.Lock()
-			m.answers++
-			m.mu.Unlock()
-			m.note("request %s: status %d, error %v", id, res.StatusCode, err)
-			if res.Close {
-				break
-			}
+			var status int
+			status, again, err = conn.send(http.MethodPost, "/book/x", id, bookDeadlineMS, "book")
+			m.record(id, status, err)
 		}
 		_ = conn.Close()
 	}
 }
 
+// record records the answer to a small request, or that none came.
+func (m *memoryCase) record(id string, status int, err error) {
+	m.note("request %s: status %d, error %v", id, status, err)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if status == 0 {
+		m.closed = append(m.closed, id)
+		return
+	}
+	m.answers++
+}
+
 // upload sends the requests with the largest body.
 func (m *memoryCase) upload() {
 	var wg sync.WaitGroup
--- a/review/probe/scene.go
+++ b/review/probe/scene.go
@@ -103,19 +103,21 @@
 
 // instance is one process of the system.
 type instance struct {
-	scene          *scene
-	name           string
-	memoryMB       int
+	scene *scene
+	name  string
+	// callers and ready are its addresses, settings and log its files.
 	callers, ready netip.AddrPort
 	settings, log  string
-	cmd            *exec.Cmd
-	done           chan struct{}
-	mu             sync.Mutex
+
+	mu sync.Mutex
+	// cmd is the process that was started last, and done is closed when it has ended.
+	cmd  *exec.Cmd
+	done chan struct{}
 }
 
 // newInstance writes the settings of an instance and starts it.
 func (s *scene) newInstance(name string, memoryMB int) (*instance, error) {
-	p := &instance{scene: s, name: name, memoryMB: memoryMB, settings: filepath.Join(s.temp, name+".json"), log: filepath.Join(s.temp, name+".log")}
+	p := &instance{scene: s, name: name, settings: filepath.Join(s.temp, name+".json"), log: filepath.Join(s.temp, name+".log")}
 	var err error
 	if p.callers, err = freeAddress(); err != nil {
 		return nil, err
@@ -179,6 +181,13 @@
 	return nil
 }
 
+// ended returns a channel that is closed when the process has ended.
+func (p *instance) ended() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.done
+}
+
 // pid returns the process's id.
 func (p *instance) pid() int {
 	p.mu.Lock()
--- a/review/probe/status.go
+++ b/review/probe/status.go
@@ -1,10 +1,7 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -24,6 +21,8 @@
 	// requests of one.
 	lookers   = 12
 	lookPause = 100 * time.Millisecond
+	// lookDeadlineMS is the time that the callers name to the instance, in milliseconds.
+	lookDeadlineMS = 1500
 	// calmTime is the time after the last spoiled answer until the callers' requests
 	// count, countTime how long they do.
 	calmTime  = 6 * time.Second
@@ -117,13 +116,12 @@
 // look sends requests on kept connections.
 func (c *statusCase) look(kind string, i int) {
 	for n := 0; ; {
-		conn, err := net.Dial("tcp", c.p.callers.String())
+		conn, err := c.p.dial()
 		if err != nil {
 			c.note("no connection: %v", err)
 			return
 		}
-		r := bufio.NewReader(conn)
-		for {
+		for again := true; again; {
 			select {
 			case <-c.stop:
 				_ = conn.Close()
@@ -131,9 +129,7 @@
 			case <-time.After(lookPause):
 			}
 			n++
-			if !c.exchange(conn, r, kind, fmt.Sprintf("%s-%d-%d", kind, i, n)) {
-				break
-			}
+			again = c.exchange(conn, kind, fmt.Sprintf("%s-%d-%d", kind, i, n))
 		}
 		_ = conn.Close()
 	}
@@ -141,19 +137,11 @@
 
 // exchange sends a request and reads its answer. It reports whether the connection may be
 // used again.
-func (c *statusCase) exchange(conn net.Conn, r *bufio.Reader, kind, id string) (again bool) {
+func (c *statusCase) exchange(conn *connection, kind, id string) (again bool) {
 	c.mu.Lock()
 	counting := c.counting
 	c.mu.Unlock()
-	_, err := fmt.Fprintf(conn, "GET /%s/x HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 1500\r\n\r\n", kind, host, id)
-	status, closes := 0, true
-	if err == nil {
-		var res *http.Response
-		if res, err = http.ReadResponse(r, nil); err == nil {
-			_, err = io.Copy(io.Discard, res.Body)
-			status, closes = res.StatusCode, res.Close
-		}
-	}
+	status, again, err := conn.send(http.MethodGet, "/"+kind+"/x", id, lookDeadlineMS, "")
 	if status != http.StatusOK || err != nil {
 		c.note("request %s: status %d, error %v", id, status, err)
 	}
@@ -165,7 +153,7 @@
 			c.served[kind]++
 		}
 	}
-	return err == nil && !closes
+	return again
 }
 
 // judge compares how often the two kinds of request were served.
--- a/review/probe/target.go
+++ b/review/probe/target.go
@@ -1,10 +1,7 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"time"
 )
@@ -49,20 +46,14 @@
 	return broken, nil
 }
 
+// sendTarget sends one request on a connection of its own.
 func sendTarget(s *scene, p *instance, id, target string) error {
-	conn, err := net.Dial("tcp", p.callers.String())
+	conn, err := p.dial()
 	if err != nil {
 		return err
 	}
 	defer conn.Close()
-	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 4000\r\n\r\n", target, host, id); err != nil {
-		return err
-	}
-	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	if err != nil {
-		return err
-	}
-	_, err = io.Copy(io.Discard, res.Body)
-	s.note("request %s for %q: status %d, error %v", id, target, res.StatusCode, err)
+	status, _, err := conn.send(http.MethodGet, target, id, 4000, "")
+	s.note("request %s for %q: status %d, error %v", id, target, status, err)
 	return err
 }
