Keep the cases of the review in test files

They are a test binary now, which runs a case only if its name and folder are given; go test runs none.

--- a/review/probe/main.go
+++ b/review/probe/main_test.go
@@ -1,16 +1,19 @@
-// Command probe runs the cases of the review. Each case starts instances with the
-// command of the deploy file, and stand-ins of the platform's store, of endpoints and of
-// callers, on loopback addresses. It writes what was sent, answered and run to the file
-// record.txt of the case's folder.
+// Package probe has the cases of the review, as a test binary. Each case starts instances
+// with the command of the deploy file, and stand-ins of the platform's store, of endpoints
+// and of callers, on loopback addresses. It writes what was sent, answered and run to the
+// file record.txt of the case's folder.
 //
-// It exits with 1 if the rule was broken, 0 if it held and 2 if the case couldn't run.
-package main
+// The binary runs a case if its arguments are the case's name and folder. It exits with 1
+// if the rule was broken, 0 if it held and 2 if the case couldn't run. Under go test it runs
+// none.
+package probe
 
 import (
 	"context"
 	"fmt"
 	"os"
 	"path/filepath"
+	"testing"
 	"time"
 )
 
@@ -33,13 +36,14 @@
 	"endless":   runEndless,
 }
 
-func main() { os.Exit(runCase()) }
-
-func runCase() int {
+func TestMain(m *testing.M) {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: probe CASE FOLDER")
-		return exitNotRun
+		os.Exit(m.Run())
 	}
+	os.Exit(runCase())
+}
+
+func runCase() int {
 	record, err := os.Create(filepath.Join(os.Args[2], "record.txt"))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "probe:", err)
--- a/review/probe/target.go
+++ b/review/probe/target_test.go
@@ -1,4 +1,4 @@
-package main
+package probe
 
 import (
 	"fmt"
