dispatch: an attempt that nothing ends is logged and counted

An attempt logs a line when it ends, and so does its request.

An attempt that runs 2 s after its context has ended now logs "attempt does not end" and counts as dispatch_overdue.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -12,6 +12,7 @@
 	"github.com/hornbeamstage/hornbeamstage/claim"
 	"github.com/hornbeamstage/hornbeamstage/config"
 	"github.com/hornbeamstage/hornbeamstage/converge"
+	"github.com/hornbeamstage/hornbeamstage/dispatch"
 	"github.com/hornbeamstage/hornbeamstage/entry"
 	"github.com/hornbeamstage/hornbeamstage/forward"
 	"github.com/hornbeamstage/hornbeamstage/gateway"
@@ -61,6 +62,7 @@
 		claim.Meters,
 		config.Meters,
 		converge.Meters,
+		dispatch.Meters,
 		entry.Meters,
 		forward.Meters,
 		gateway.Meters,
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -214,6 +214,7 @@
 // runAttempt runs one attempt, releases its placement and credits the budgets
 // for retries and hedges if it completed.
 func (s *requestState) runAttempt(ctx context.Context, c *attempt.Call) attempt.Result {
+	defer s.watchOverdue(ctx, c)()
 	w := s.watchCrash(c)
 	res := s.Sender.Run(ctx, c)
 	if w != nil {
