network: a type for the transports of all calls over HTTP/1

Transport was a function that returned net/http's own type, so that nothing could be said of a response for all calls at once. It is a type now, NewTransport makes one, and attempt.SingleUse returns one too. It stands in a file of its own. No change of behaviour.

--- a/attempt/transport.go
+++ b/attempt/transport.go
@@ -16,9 +16,9 @@
 
 // SingleUse returns a transport that uses conn for one request. It cannot open
 // another connection.
-func SingleUse(conn net.Conn) *http.Transport {
+func SingleUse(conn net.Conn) *network.Transport {
 	var used atomic.Bool
-	return &http.Transport{
+	return &network.Transport{Transport: http.Transport{
 		DialContext: func(context.Context, string, string) (net.Conn, error) {
 			if used.Swap(true) {
 				return nil, errConnUsed
@@ -28,5 +28,5 @@
 		DisableKeepAlives:      true,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: network.MaxHeaderBytes,
-	}
+	}}
 }
--- a/cacheevent/endless_test.go
+++ b/cacheevent/endless_test.go
@@ -29,7 +29,7 @@
 		return endless.Play(suiteT, r, rate, func(ctx context.Context, n hbs.Network, server netip.AddrPort) {
 			ctx, cancel := context.WithTimeout(ctx, time.Minute)
 			defer cancel()
-			transport := network.Transport(n)
+			transport := network.NewTransport(n)
 			defer transport.CloseIdleConnections()
 			reader := cacheevent.Reader{
 				Client: &http.Client{Transport: transport}, Endpoint: hbs.Endpoint{ID: "e", Address: server},
--- a/cacheevent/reader_test.go
+++ b/cacheevent/reader_test.go
@@ -53,7 +53,7 @@
 				_, _ = w.Write([]byte(bodies[n-1]))
 			}
 		})}
-		transport := network.Transport(f.Network("a"))
+		transport := network.NewTransport(f.Network("a"))
 		reader := cacheevent.Reader{
 			Client:   &http.Client{Transport: transport},
 			Endpoint: hbs.Endpoint{ID: "e", Address: address},
--- a/cacheevent/readers.go
+++ b/cacheevent/readers.go
@@ -38,7 +38,7 @@
 
 // Run reads the events of the endpoints until ctx is done and returns its error.
 func (r *Readers) Run(ctx context.Context) error {
-	transport := network.Transport(r.Network)
+	transport := network.NewTransport(r.Network)
 	defer transport.CloseIdleConnections()
 	client := &http.Client{Transport: transport}
 	var wg conc.WaitGroup
--- a/claim/http_test.go
+++ b/claim/http_test.go
@@ -210,7 +210,7 @@
 		}
 		wg.Go(func() {
 			time.Sleep(start)
-			client := &http.Client{Transport: network.Transport(t.fabric.Network("callers")), Timeout: 20 * time.Second}
+			client := &http.Client{Transport: network.NewTransport(t.fabric.Network("callers")), Timeout: 20 * time.Second}
 			defer client.CloseIdleConnections()
 			o := t.send(client, i, key)
 			mu.Lock()
@@ -282,7 +282,7 @@
 // resendAll sends each key once more after all faults. A key whose request never
 // ran must run now, unless a router was killed during the test.
 func (t *cluster) resendAll(runs map[string]int) string {
-	client := &http.Client{Transport: network.Transport(t.fabric.Network("callers")), Timeout: 20 * time.Second}
+	client := &http.Client{Transport: network.NewTransport(t.fabric.Network("callers")), Timeout: 20 * time.Second}
 	defer client.CloseIdleConnections()
 	last := map[hbs.Outcome]int{}
 	for k := range httpKeys {
--- a/console/keys.go
+++ b/console/keys.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
-	"net/http"
 	"os"
 
 	hbs "github.com/hornbeamstage/hornbeamstage"
@@ -61,8 +60,8 @@
 // transport returns an HTTP transport for instance i and the scheme of its URLs.
 // Over TLS the certificate must name i, except where i was given by address: its
 // ID is unknown, so any instance of the trust domain is accepted.
-func (k *tlsCredentials) transport(n hbs.Network, i hbs.Instance) (t *http.Transport, scheme string) {
-	t = network.Transport(n)
+func (k *tlsCredentials) transport(n hbs.Network, i hbs.Instance) (t *network.Transport, scheme string) {
+	t = network.NewTransport(n)
 	if k.roots == nil {
 		return t, "http"
 	}
--- a/gateway/cacheevents.go
+++ b/gateway/cacheevents.go
@@ -54,7 +54,7 @@
 // Run maintains one reader per engine, and one for the KV cache store, until ctx
 // ends.
 func (c *cacheReaders) Run(ctx context.Context) error {
-	transport := network.Transport(c.Network)
+	transport := network.NewTransport(c.Network)
 	defer transport.CloseIdleConnections()
 	c.client = &http.Client{Transport: transport}
 	c.readers = map[hbs.EndpointID]*cacheReader{}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -128,7 +128,7 @@
 
 func (f *fleet) start() {
 	n := f.fabric.Network(domain)
-	f.client = &http.Client{Transport: network.Transport(n)}
+	f.client = &http.Client{Transport: network.NewTransport(n)}
 	f.store = &store.Platform{Address: address(hostStore, 80), Network: n}
 	f.stopEndpoint = map[*pool.Endpoint]context.CancelFunc{}
 	f.publishRoutes(1, goodKey)
--- a/load/poller.go
+++ b/load/poller.go
@@ -66,7 +66,7 @@
 
 // Run polls until ctx is done and returns its error.
 func (p *Poller) Run(ctx context.Context) error {
-	transport := network.Transport(p.Network)
+	transport := network.NewTransport(p.Network)
 	defer transport.CloseIdleConnections()
 	client := &http.Client{Transport: transport, Timeout: readTimeout}
 	for {
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -44,7 +44,7 @@
 func (d *Directory) probeLoop(ctx context.Context) error {
 	p := prober{
 		Directory: d,
-		transport: network.Transport(d.Network),
+		transport: network.NewTransport(d.Network),
 		scheduled: map[hbs.EndpointID]probeSchedule{},
 		inFlight:  map[hbs.EndpointID]bool{},
 		results:   make(chan probeResult, maxProbes),
@@ -81,7 +81,7 @@
 // while its probe is in flight.
 type prober struct {
 	*Directory
-	transport *http.Transport
+	transport *network.Transport
 	scheduled map[hbs.EndpointID]probeSchedule
 	inFlight  map[hbs.EndpointID]bool
 	results   chan probeResult
--- a/network/body.go
+++ b/network/body.go
@@ -7,10 +7,6 @@
 	"github.com/cockroachdb/errors"
 )
 
-// MaxHeaderBytes bounds the header of a response, interim responses included, in
-// bytes.
-const MaxHeaderBytes = 64 << 10
-
 // ErrTooLong is returned for a response body that exceeds its limit.
 var ErrTooLong = errors.New("response body is too long")
 
--- a/network/network.go
+++ b/network/network.go
@@ -5,13 +5,10 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"net/netip"
 	"time"
 
 	"github.com/cockroachdb/errors"
-
-	hbs "github.com/hornbeamstage/hornbeamstage"
 )
 
 // DialTimeout is the timeout of a connection attempt.
@@ -36,21 +33,3 @@
 	d := net.Dialer{Timeout: DialTimeout, KeepAliveConfig: keepAlive}
 	return d.DialContext(ctx, "tcp", addr.String())
 }
-
-// Transport returns an HTTP transport whose connections are opened by n. It reuses
-// connections, does not request compression and bounds the headers of responses.
-func Transport(n hbs.Network) *http.Transport {
-	return &http.Transport{
-		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
-			ap, err := netip.ParseAddrPort(addr)
-			if err != nil {
-				return nil, errors.Wrapf(err, "address %q", addr)
-			}
-			return n.Dial(ctx, ap)
-		},
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: MaxHeaderBytes,
-		MaxIdleConnsPerHost:    64,
-		IdleConnTimeout:        30 * time.Second,
-	}
-}
--- /dev/null
+++ b/network/transport.go
@@ -0,0 +1,38 @@
+package network
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	hbs "github.com/hornbeamstage/hornbeamstage"
+)
+
+// MaxHeaderBytes bounds the header of a response, interim responses included, in
+// bytes.
+const MaxHeaderBytes = 64 << 10
+
+// Transport is an HTTP transport with which all calls over HTTP/1 are made.
+type Transport struct{ http.Transport }
+
+// NewTransport returns a transport whose connections are opened by n. It reuses
+// connections, does not request compression and bounds the headers of responses.
+func NewTransport(n hbs.Network) *Transport {
+	return &Transport{http.Transport{
+		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
+			ap, err := netip.ParseAddrPort(addr)
+			if err != nil {
+				return nil, errors.Wrapf(err, "address %q", addr)
+			}
+			return n.Dial(ctx, ap)
+		},
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: MaxHeaderBytes,
+		MaxIdleConnsPerHost:    64,
+		IdleConnTimeout:        30 * time.Second,
+	}}
+}
--- a/order/call.go
+++ b/order/call.go
@@ -44,7 +44,7 @@
 		req.Header = c.Header.Clone()
 	}
 	req.Header.Set("Content-Type", "application/json")
-	transport := network.Transport(guardedNetwork{c.Network, c.Guard})
+	transport := network.NewTransport(guardedNetwork{c.Network, c.Guard})
 	transport.DisableKeepAlives = true
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
--- a/replay/caller.go
+++ b/replay/caller.go
@@ -26,7 +26,7 @@
 // balancer, and checks the answers.
 type callers struct {
 	replay    *Replay
-	transport *http.Transport
+	transport *network.Transport
 	texts     trace.Texts
 
 	mu   sync.Mutex
@@ -42,7 +42,7 @@
 
 func newCallers(r *Replay) *callers {
 	c := &callers{replay: r}
-	c.transport = network.Transport(dialMarker{r.fleet.net.network(domainCallers)})
+	c.transport = network.NewTransport(dialMarker{r.fleet.net.network(domainCallers)})
 	c.transport.MaxIdleConnsPerHost = idlePerInstance
 	return c
 }
--- a/replay/instance.go
+++ b/replay/instance.go
@@ -66,7 +66,7 @@
 		policy:  policy,
 	}
 	in.probe = &http.Client{
-		Transport: network.Transport(f.net.network(domainCallers)),
+		Transport: network.NewTransport(f.net.network(domainCallers)),
 		Timeout:   time.Second,
 	}
 	return in
--- a/replay/leaving_test.go
+++ b/replay/leaving_test.go
@@ -43,7 +43,7 @@
 
 // endpoints returns the platform's list of endpoints as JSON, or the error.
 func endpoints(p replay.Process) string {
-	transport := network.Transport(p.Network)
+	transport := network.NewTransport(p.Network)
 	defer transport.CloseIdleConnections()
 	resp, err := (&http.Client{Transport: transport}).Get("http://" + p.Settings.Platform.Address.String() + "/apis/v1/endpoints")
 	if err != nil {
--- a/replay/replay_test.go
+++ b/replay/replay_test.go
@@ -47,7 +47,7 @@
 
 func (c *naiveRouter) run(ctx context.Context) error {
 	ctx, c.stop = context.WithCancel(ctx)
-	transport := network.Transport(c.p.Network)
+	transport := network.NewTransport(c.p.Network)
 	proxy := &httputil.ReverseProxy{
 		Rewrite:       func(r *httputil.ProxyRequest) { c.route(r.Out) },
 		Transport:     transport,
@@ -86,7 +86,7 @@
 	body, _ := io.ReadAll(r.Body)
 	r.Body = io.NopCloser(strings.NewReader(string(body)))
 	if c.twice && r.Method == http.MethodPost && len(to) == len(c.services) {
-		again := &http.Client{Transport: network.Transport(c.p.Network)}
+		again := &http.Client{Transport: network.NewTransport(c.p.Network)}
 		if resp, err := again.Post("http://"+target.String()+r.URL.Path, "", strings.NewReader(string(body))); err == nil {
 			resp.Body.Close()
 		}
--- a/router/fleet_test.go
+++ b/router/fleet_test.go
@@ -96,7 +96,7 @@
 
 func (f *fleet) start(ctx context.Context) {
 	n := f.fabric.Network(domain)
-	f.client = &http.Client{Transport: network.Transport(n)}
+	f.client = &http.Client{Transport: network.NewTransport(n)}
 	f.platform = &platform.Platform{Address: addr(hostPlatform, 80), Network: n}
 	f.engine = &engine.Engine{
 		ID: "e1", Address: addr(hostEngine, 80), Network: n, Model: "m", Initial: "v1",
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -284,7 +284,7 @@
 				s.TLS.Certificate, s.TLS.Key, s.TLS.Authority, s.TLS.Operators = a.File("i"), a.File("i-key"), a.File(authority.CertName), mode
 			}
 			late := f.startLate()
-			transport := network.Transport(f.fabric.Network(domain))
+			transport := network.NewTransport(f.fabric.Network(domain))
 			transport.TLSClientConfig = peer.ClientConfig(roots, nil, "hornbeamstage", "i3")
 			client := &http.Client{Transport: transport}
 			res, err := client.Get("https://" + addr(byte(late+1), portOperators).String() + "/healthz")
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -58,7 +58,7 @@
 		if change != nil {
 			change(e)
 		}
-		transport := network.Transport(fabric.Network("a"))
+		transport := network.NewTransport(fabric.Network("a"))
 		ctx, cancel := context.WithCancel(context.Background())
 		var wg conc.WaitGroup
 		wg.Go(func() { _ = e.Run(ctx) })
@@ -277,7 +277,7 @@
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 			defer cancel()
 			wire := &host.Host{Network: b.engine.Network}
-			transport := network.Transport(wire)
+			transport := network.NewTransport(wire)
 			defer transport.CloseIdleConnections()
 			for range 3 {
 				_, err := load.Read(ctx, &http.Client{Transport: transport}, &hbs.Endpoint{ID: "e1", Address: addr})
--- a/standin/platform/platform_test.go
+++ b/standin/platform/platform_test.go
@@ -43,7 +43,7 @@
 	synctest.Test(suite, func(t *testing.T) {
 		fabric := &memnet.Fabric{}
 		p := &platform.Platform{Address: addr, Network: fabric.Network("a"), ListLag: time.Second}
-		transport := network.Transport(fabric.Network("a"))
+		transport := network.NewTransport(fabric.Network("a"))
 		ctx, cancel := context.WithCancel(context.Background())
 		var wg conc.WaitGroup
 		wg.Go(func() { _ = p.Run(ctx) })
--- a/standin/service/service_test.go
+++ b/standin/service/service_test.go
@@ -38,7 +38,7 @@
 		if change != nil {
 			change(s)
 		}
-		transport := network.Transport(fabric.Network("a"))
+		transport := network.NewTransport(fabric.Network("a"))
 		ctx, cancel := context.WithCancel(context.Background())
 		var wg conc.WaitGroup
 		wg.Go(func() { _ = s.Run(ctx) })
@@ -50,7 +50,7 @@
 	})
 }
 
-func call(transport *http.Transport) (status int) {
+func call(transport *network.Transport) (status int) {
 	body := io.MultiReader(strings.NewReader(`{"id":"r1","work":0.1}`))
 	req, _ := http.NewRequest(http.MethodPost, "http://"+addr.String()+"/bookings", body)
 	req.Header.Set("Idempotency-Key", "k1")
--- a/weights/drain.go
+++ b/weights/drain.go
@@ -46,7 +46,7 @@
 		return err
 	}
 	effective := time.Now()
-	client := &http.Client{Transport: network.Transport(r.Network)}
+	client := &http.Client{Transport: network.NewTransport(r.Network)}
 	defer client.CloseIdleConnections()
 	for time.Since(effective) < r.duration(KnobDrainPatience, e) {
 		report, err := r.readLoadReport(ctx, client, e)
--- a/weights/instance_reports_test.go
+++ b/weights/instance_reports_test.go
@@ -72,7 +72,7 @@
 	f.wg.Go(func() {
 		p, err := placer.Place(&hbs.Request{Deadline: time.Now().Add(deadline)}, nil)
 		f.Expect(err).NotTo(HaveOccurred())
-		transport := network.Transport(f.fabric.Network("d0"))
+		transport := network.NewTransport(f.fabric.Network("d0"))
 		defer transport.CloseIdleConnections()
 		f.send(transport, &e, "long", longStreamTokens)
 		placer.Finish(&p, hbs.AttemptResult{})
--- a/weights/standby_test.go
+++ b/weights/standby_test.go
@@ -62,7 +62,7 @@
 func (f *fleet) startLongStream() {
 	e, _ := f.standbyEngine()
 	f.wg.Go(func() {
-		transport := network.Transport(f.fabric.Network("d0"))
+		transport := network.NewTransport(f.fabric.Network("d0"))
 		defer transport.CloseIdleConnections()
 		f.send(transport, &e, "long", longStreamTokens)
 	})
--- a/weights/weights_test.go
+++ b/weights/weights_test.go
@@ -260,7 +260,7 @@
 }
 
 func (f *fleet) runCaller(ctx context.Context, rng *rand.Rand) {
-	transport := network.Transport(f.fabric.Network("d0"))
+	transport := network.NewTransport(f.fabric.Network("d0"))
 	defer transport.CloseIdleConnections()
 	for n := 0; ctx.Err() == nil; n++ {
 		roster := f.Roster()
