network: a response that switches protocols is an error

Cause: after a response of status 101 with the header for it, net/http hands its connection over to the caller of RoundTrip. The request's context, which was the only bound on the time of a read, no longer ends it. No call asks for another protocol, but no reader looked whether one came.

The source of net/http (persistConn.readLoop, bodyIsWritable) says the same.

network.Transport, with which all calls over HTTP/1 are made, closes such a response and returns an error. That is enough, as net/http gives connections away for no other response. It ends the same read at engines' reports, orders, pages of cache events and calls to the store: one engine that answered so kept an instance without any request from stopping.

A play of standin/endless ends after an hour, so that a client which waits for its server fails its spec and doesn't hang.

--- a/converge/endless_test.go
+++ b/converge/endless_test.go
@@ -27,4 +27,6 @@
 	Entry("a header that arrives slowly", endless.HeaderLine, endless.Drips),
 	Entry("a body that arrives slowly", endless.Body("200 OK", "", " "), endless.Drips),
 	Entry("a body", endless.Body("200 OK", "", " "), endless.Fast),
+	Entry("a switch of protocols", endless.Switched(""), endless.Fast),
+	Entry("a slow switch of protocols", endless.Switched(""), endless.Drips),
 )
--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -76,6 +76,24 @@
 		})
 	}
 
+	// Guards against a read that nothing ends after an unasked switch of protocols: the
+	// attempt outlived its deadline, and the handler its process's grace time.
+	DescribeTable("is broken off if it switches protocols", func(header string, class hbs.RouteClass, rate endless.Rate) {
+		r := runClass(class, &Sender{}, endless.Switched(ownHeader+header), rate)
+		Expect(r.End).To(Equal(hbs.EndBroken))
+		Expect(r.Refusal.Outcome).To(Equal(hbs.OutcomeUnknown))
+		Expect(r.Took).To(BeNumerically("<=", requestTime))
+		Expect(r.sink).To(Equal(endless.Sink{}))
+		Expect(r.Open).To(BeZero())
+	},
+		Entry("fast", "", hbs.ClassRepeatable, endless.Fast),
+		Entry("slowly", "", hbs.ClassRepeatable, endless.Drips),
+		Entry("in response to a request that must not run again", "", hbs.ClassOnce, endless.Drips),
+		Entry("with a length", "Content-Length: 100\r\n", hbs.ClassRepeatable, endless.Drips),
+		Entry("as a stream", "Content-Type: text/event-stream\r\n", hbs.ClassRepeatable, endless.Drips),
+		Entry("and says that it didn't run", "X-Not-Executed: 1\r\n", hbs.ClassOnce, endless.Drips),
+	)
+
 	It("counts as failed, and can be retried, if its status is an error", func() {
 		r := runEndless(&Sender{}, endless.Body("500 Internal Server Error", ownHeader, "x"), endless.Fast)
 		Expect(r.End).To(Equal(hbs.EndFailed))
--- a/network/body_test.go
+++ b/network/body_test.go
@@ -12,7 +12,10 @@
 	"github.com/hornbeamstage/hornbeamstage/network"
 )
 
+var suite *testing.T
+
 func TestNetwork(t *testing.T) {
+	suite = t
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "network")
 }
--- a/network/transport.go
+++ b/network/transport.go
@@ -16,9 +16,25 @@
 // bytes.
 const MaxHeaderBytes = 64 << 10
 
-// Transport is an HTTP transport with which all calls over HTTP/1 are made.
+// ErrSwitchedProtocol is returned for a response that switches to another protocol.
+var ErrSwitchedProtocol = errors.New("response switches protocols")
+
+// Transport is an HTTP transport with which all calls over HTTP/1 are made. None of them
+// asks for another protocol.
 type Transport struct{ http.Transport }
 
+// RoundTrip implements http.RoundTripper. A response that switches protocols is an
+// error: net/http leaves its connection to the caller, and the end of the request's
+// context no longer ends reads of its body.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	res, err := t.Transport.RoundTrip(r)
+	if err != nil || res.StatusCode != http.StatusSwitchingProtocols {
+		return res, err
+	}
+	_ = res.Body.Close()
+	return nil, ErrSwitchedProtocol
+}
+
 // NewTransport returns a transport whose connections are opened by n. It reuses
 // connections, does not request compression and bounds the headers of responses.
 func NewTransport(n hbs.Network) *Transport {
--- a/standin/endless/endless.go
+++ b/standin/endless/endless.go
@@ -27,7 +27,7 @@
 	Repeat string
 }
 
-// The responses whose header never ends.
+// The responses that never become a final response with an HTTP body.
 var (
 	// NoHTTP are bytes that begin no HTTP response.
 	NoHTTP = Response{Repeat: "x"}
@@ -39,10 +39,12 @@
 	Interim = Response{Repeat: "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"}
 )
 
-// Headers are the responses whose header never ends, by a description for tests.
+// Headers are the responses that never become a final response with an HTTP body, by a
+// description for tests.
 var Headers = map[string]Response{
 	"bytes that are no response": NoHTTP, "a header line without an end": HeaderLine,
 	"header lines without an end": HeaderLines, "interim responses without an end": Interim,
+	"a switch of protocols": Switched(""),
 }
 
 // Body returns a response with the given header lines, each ended by "\r\n", whose
@@ -51,6 +53,12 @@
 	return Response{Start: "HTTP/1.1 " + status + "\r\n" + header + "\r\n", Repeat: repeat}
 }
 
+// Switched returns a response with the given header lines, each ended by "\r\n", that
+// switches to another protocol, which the request didn't ask for.
+func Switched(header string) Response {
+	return Body("101 Switching Protocols", header+"Connection: Upgrade\r\nUpgrade: x\r\n", "x")
+}
+
 // Rate is how fast a response is sent.
 type Rate struct {
 	// Bytes are sent at once, positive.
--- a/standin/endless/play.go
+++ b/standin/endless/play.go
@@ -14,9 +14,14 @@
 	"github.com/hornbeamstage/hornbeamstage/standin/memnet"
 )
 
-// settleTime is how long after the end of a client its connections may take to
-// close.
-const settleTime = 2 * time.Second
+const (
+	// settleTime is how long after the end of a client its connections may take to
+	// close.
+	settleTime = 2 * time.Second
+	// playTime is the time after which the server closes all connections, so that a
+	// client which waits for it fails its test.
+	playTime = time.Hour
+)
 
 // Played is what was seen of a client.
 type Played struct {
@@ -34,7 +39,7 @@
 		var fabric memnet.Fabric
 		n := fabric.Network("d")
 		s := &Server{Address: netip.MustParseAddrPort("10.0.0.1:80"), Network: n, Response: r, Rate: rate}
-		ctx, cancel := context.WithCancel(t.Context())
+		ctx, cancel := context.WithTimeout(t.Context(), playTime)
 		var wg conc.WaitGroup
 		defer wg.Wait()
 		defer cancel()
--- a/standin/engine/faults.go
+++ b/standin/engine/faults.go
@@ -82,9 +82,9 @@
 }
 
 // AnswerEndlessly answers everything for the next d with bytes that never end and
-// are no answer, in the header or in the body.
+// are no answer, in the header, in the body or after a switch of protocols.
 func (e *Engine) AnswerEndlessly(d time.Duration) {
-	e.endless.Begin(d, endless.HeaderLines, endless.ErrorBody, endlessEvent)
+	e.endless.Begin(d, endless.HeaderLines, endless.ErrorBody, endlessEvent, endless.Switched(""))
 }
 
 // AnswerWith answers completion requests from now on with h, without running them.
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -153,9 +153,10 @@
 }
 
 // AnswerEndlessly answers calls of the next d, which are not executed, with bytes
-// that never end, in the header or in the body of an error.
+// that never end, in the header, in the body of an error or after a switch of
+// protocols.
 func (s *Service) AnswerEndlessly(d time.Duration) {
-	s.endless.Begin(d, endless.HeaderLines, endless.ErrorBody)
+	s.endless.Begin(d, endless.HeaderLines, endless.ErrorBody, endless.Switched(""))
 }
 
 // Slow multiplies the duration of calls by factor for the next d.
