network, forward: what the headers of responses take in memory is bounded

Reported by other operators: a faulty engine sent bytes that were no answer, without end, until the machine that had called it ran out of memory and its other clients' requests ended (LOST).

Cause: a header was bounded by 64 KiB of text, not by what it takes; short lines take many times their text, up to over 1 MB. The headers of all attempts together weren't bounded at all. The memory for responses counted bodies and events only.

network.Transport counts 256 bytes for each line beside its text and gives a header up above 128 KiB. An attempt of the gateway takes what its header needs beyond 16 KiB from the memory for responses. Sound headers take less, so nothing changes for them. The bound sits in the connection, since net/http shows a header only when it is complete; a read counts once more is read, as it may include a part of the body. An error stays with the connection: a reader of lines takes what came before it for a whole line and goes on, and a header broken off in the middle of a line end looked complete.

The specs failed before: 200 of 200 headers were held, where 54 fit into the memory; a header of short lines was read to 64 KiB; without the error that stays, the caller was passed 64 MiB of a response whose header was broken off.

--- a/attempt/transport.go
+++ b/attempt/transport.go
@@ -23,7 +23,7 @@
 			if used.Swap(true) {
 				return nil, errConnUsed
 			}
-			return conn, nil
+			return network.LimitHeaders(conn), nil
 		},
 		DisableKeepAlives:      true,
 		DisableCompression:     true,
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -24,8 +24,10 @@
 //  6. A stream without events for a while is not a reason to end an attempt. Only
 //     the deadline or the caller ends it.
 //  7. An endpoint may send bytes without end, in the header or the body. A header
-//     longer than network.MaxHeaderBytes, an event longer than maxEvent and a
-//     response longer than attempt.max_bytes break the attempt.
+//     longer than network.MaxHeaderBytes or with more lines than network.Transport
+//     allows, an event longer than maxEvent and a response longer than
+//     attempt.max_bytes break the attempt. Headers, events and responses that are
+//     held back share Sender.BufferBytes.
 //  8. An endpoint's weights may be due for replacement at a time after which no
 //     request may begin on them. An attempt at a stream that waits at the endpoint
 //     until then is ended, so that the endpoint drops the request; another one may
@@ -84,8 +86,8 @@
 	// the attempt began (rule 8), and otherwise when to ask again; 0 means never. nil
 	// means that requests may begin at any time.
 	CheckStart func(e *hbs.Endpoint) (next time.Duration, end bool)
-	// BufferBytes bounds the parts of responses that all attempts together have
-	// buffered, in bytes; 0 means defaultBufferBytes.
+	// BufferBytes bounds the parts of responses, large headers included, that all attempts
+	// together have buffered, in bytes; 0 means defaultBufferBytes.
 	BufferBytes int64
 
 	memory memory
@@ -165,7 +167,9 @@
 		q.Body = io.NopCloser(bytes.NewReader(r.Request.Body))
 		q.ContentLength = int64(len(r.Request.Body))
 	}
-	return attempt.SingleUse(conn).RoundTrip(q)
+	transport := attempt.SingleUse(conn)
+	transport.ReserveHeader = r.buffers.growHeader
+	return transport.RoundTrip(q)
 }
 
 // header returns the caller's headers with those for the endpoint added.
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -177,10 +177,8 @@
 	if len(e.event) > maxEvent {
 		return errors.Newf("event exceeds %d bytes", maxEvent)
 	}
-	for e.buffers != nil && int64(len(e.event)) > streamBuffer+e.buffers.bytes {
-		if !e.buffers.grow() {
-			return errNoMemory
-		}
+	if e.buffers != nil && !e.buffers.growTo(int64(len(e.event))-streamBuffer) {
+		return errNoMemory
 	}
 	return nil
 }
--- a/standin/endless/endless.go
+++ b/standin/endless/endless.go
@@ -59,6 +59,12 @@
 	return Body("101 Switching Protocols", header+"Connection: Upgrade\r\nUpgrade: x\r\n", "x")
 }
 
+// HeldHeader returns a response whose header is sent up to the given number of lines at
+// once, and then goes on without an end.
+func HeldHeader(lines int) Response {
+	return Response{Start: HeaderLines.Start + strings.Repeat(HeaderLines.Repeat, lines), Repeat: HeaderLines.Repeat}
+}
+
 // Rate is how fast a response is sent.
 type Rate struct {
 	// Bytes are sent at once, positive.
