forward: a body that is held back takes no more memory than is reserved for it

Cause: the sum of what is held back was bounded, but a body took several times what was reserved for it: a slice that doubles, its copies while it grew, and 32 KiB more to pass it on. Bodies that were given up were garbage faster than it is collected.

A body is held in parts of 8 KiB, as they are reserved. Ended attempts leave them to later ones. They are passed on as they are, and the rest of a body through one buffer of 8 KiB.

Both specs failed before: 2 MiB taken for 1 MiB reserved (at most an eighth more is allowed), 34 KB to pass a body on (at most 16 KiB).

--- a/forward/buffered.go
+++ b/forward/buffered.go
@@ -13,7 +13,7 @@
 // passBuffered buffers a response that is not a stream and passes it on (rule 4).
 // What exceeds the buffer is passed on as it arrives.
 func (r *run) passBuffered(ctx context.Context, res *http.Response) {
-	data, whole, err := r.buffers.buffer(res.Body, int(r.Policy.Number(attempt.KnobWholeBytes, r.scope())))
+	data, whole, err := r.buffers.buffer(res.Body, res.ContentLength, int(r.Policy.Number(attempt.KnobWholeBytes, r.scope())))
 	if err != nil {
 		r.failBroken(ctx, err)
 		return
@@ -21,14 +21,14 @@
 	r.recordFirstToken()
 	switch {
 	case res.StatusCode >= 400 && whole:
-		r.bufferError(res, data)
+		r.bufferError(res, bytes.Join(data, nil))
 		return
 	case res.StatusCode >= 500 && r.Request.Class == hbs.ClassRepeatable:
 		// Another endpoint may do better, but only if the caller got nothing.
 		r.result.Fail(http.StatusText(res.StatusCode) + ": response is too long to be buffered")
 		return
 	}
-	if err := r.passBody(res, io.MultiReader(bytes.NewReader(data), res.Body)); err != nil {
+	if err := r.passBody(res, data, whole); err != nil {
 		r.failBroken(ctx, err)
 		return
 	}
@@ -47,12 +47,21 @@
 	r.result.Fail(http.StatusText(res.StatusCode))
 }
 
-// passBody passes a response with the given body on.
-func (r *run) passBody(res *http.Response, body io.Reader) error {
+// passBody passes a response on: the parts of its body that were buffered and, unless
+// they are the whole of it, the rest.
+func (r *run) passBody(res *http.Response, data [][]byte, whole bool) error {
 	if err := r.startResponse(res); err != nil {
 		return err
 	}
-	_, err := io.Copy(writerFunc(r.write), body)
+	for _, part := range data {
+		if err := r.write(part); err != nil {
+			return err
+		}
+	}
+	if whole {
+		return nil
+	}
+	_, err := io.CopyBuffer(writerFunc(r.write), res.Body, make([]byte, bufferStep))
 	return err
 }
 
--- a/forward/memory.go
+++ b/forward/memory.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"sync"
 	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
@@ -33,8 +34,18 @@
 	bytes int64
 	// header is the part of bytes that the header takes.
 	header int64
+	// parts are the parts of the body that return to unusedParts.
+	parts []*part
 }
 
+// part is memory for a step of a body. A bytes.Buffer in it never grows: that happens
+// without room for one more read of the least size.
+type part [bufferStep + bytes.MinRead]byte
+
+// unusedParts keeps the parts of ended attempts. Bodies without an end would otherwise
+// be discarded faster than they are collected.
+var unusedParts = sync.Pool{New: func() any { return new(part) }}
+
 // grow reserves one more step. It reports whether there was enough memory.
 func (v *reservation) grow() bool {
 	if v.memory.used.Add(bufferStep) > v.limit {
@@ -65,24 +76,45 @@
 	return nil
 }
 
-// release returns the whole reservation.
+// release returns the whole reservation. What buffer returned must not be used any more.
 func (v *reservation) release() {
 	v.memory.used.Add(-v.bytes)
 	v.bytes, v.header = 0, 0
+	for _, p := range v.parts {
+		unusedParts.Put(p)
+	}
+	v.parts = nil
 }
 
-// buffer reads body until it ends, until at least limit bytes were read or until
-// the memory is used up. whole reports whether body ended.
-func (v *reservation) buffer(body io.Reader, limit int) (data []byte, whole bool, err error) {
-	var b bytes.Buffer
-	for b.Len() < limit && v.grow() {
-		_, err := io.CopyN(&b, body, bufferStep)
+// newPart returns an empty buffer with room for n bytes, bufferStep at most.
+func (v *reservation) newPart(n int64) *bytes.Buffer {
+	if n < bufferStep {
+		return bytes.NewBuffer(make([]byte, 0, n+bytes.MinRead))
+	}
+	p, _ := unusedParts.Get().(*part)
+	v.parts = append(v.parts, p)
+	return bytes.NewBuffer(p[:0])
+}
+
+// buffer reads body until it ends, until at least limit bytes were read or until the
+// memory is used up. It takes little more memory than it reserves. length is that of the
+// body, negative if it is unknown; whole reports whether body ended.
+func (v *reservation) buffer(body io.Reader, length int64, limit int) (data [][]byte, whole bool, err error) {
+	size := int64(bufferStep)
+	if length >= 0 {
+		size = min(size, length)
+	}
+	for n := 0; n < limit && v.grow(); {
+		part := v.newPart(size)
+		_, err := io.CopyN(part, body, bufferStep)
+		data = append(data, part.Bytes())
+		n += part.Len()
 		if err == io.EOF {
-			return b.Bytes(), true, nil
+			return data, true, nil
 		}
 		if err != nil {
 			return nil, false, err
 		}
 	}
-	return b.Bytes(), false, nil
+	return data, false, nil
 }
--- /dev/null
+++ b/forward/memory_test.go
@@ -0,0 +1,55 @@
+package forward
+
+import (
+	"io"
+	"net/http"
+	"runtime"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	hbs "github.com/hornbeamstage/hornbeamstage"
+	"github.com/hornbeamstage/hornbeamstage/attempt"
+	"github.com/hornbeamstage/hornbeamstage/standin/endless"
+)
+
+// Guards against bodies at many requests at once that together took several times the
+// memory that was reserved for them.
+var _ = Describe("the memory that a response takes", func() {
+	It("is little more than what is reserved while it is held back", func() {
+		v := &reservation{memory: &memory{}, limit: defaultBufferBytes}
+		data, whole, err := v.buffer(strings.NewReader(strings.Repeat("x", 1<<20)), -1, 1<<20)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(whole).To(BeFalse())
+		taken := 0
+		for _, part := range data {
+			taken += cap(part)
+		}
+		Expect(taken).To(BeNumerically("<=", v.bytes*9/8))
+	})
+
+	It("doesn't depend on its length while it is passed on", func() {
+		const length, times = 1 << 20, 20
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		for range times {
+			sink := &endless.Sink{}
+			r := &run{Sender: &Sender{}, Call: &attempt.Call{Request: &hbs.Request{}, Sink: sink, Placement: &hbs.Placement{}}}
+			res := &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(io.LimitReader(zeros{}, length))}
+			Expect(r.passBody(res, nil, false)).To(Succeed())
+			Expect(sink.Bytes).To(Equal(length))
+		}
+		runtime.ReadMemStats(&after)
+		Expect((after.TotalAlloc - before.TotalAlloc) / times).To(BeNumerically("<", 2*bufferStep))
+	})
+})
+
+// zeros is a reader of zeros without an end.
+type zeros struct{}
+
+// Read implements io.Reader.
+func (zeros) Read(p []byte) (int, error) {
+	clear(p)
+	return len(p), nil
+}
