--- a/forward/memory.go
+++ b/forward/memory.go
@@ -107,8 +107,10 @@
 	for n := 0; n < limit && v.grow(); {
 		part := v.newPart(size)
 		_, err := io.CopyN(part, body, bufferStep)
-		data = append(data, part.Bytes())
-		n += part.Len()
+		if part.Len() > 0 {
+			data = append(data, part.Bytes())
+			n += part.Len()
+		}
 		if err == io.EOF {
 			return data, true, nil
 		}
--- a/forward/memory_test.go
+++ b/forward/memory_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 	"runtime"
@@ -29,6 +30,17 @@
 		Expect(taken).To(BeNumerically("<=", v.bytes*9/8))
 	})
 
+	It("has no part without a byte, which would be passed on as a write of nothing", func() {
+		for _, length := range []int{0, 1, bufferStep, bufferStep + 1} {
+			v := &reservation{memory: &memory{}, limit: defaultBufferBytes}
+			data, whole, err := v.buffer(strings.NewReader(strings.Repeat("x", length)), -1, 1<<20)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(whole).To(BeTrue())
+			Expect(data).NotTo(ContainElement(BeEmpty()))
+			Expect(bytes.Join(data, nil)).To(HaveLen(length))
+		}
+	})
+
 	It("doesn't depend on its length while it is passed on", func() {
 		const length, times = 1 << 20, 20
 		var before, after runtime.MemStats
