--- a/network/header_test.go
+++ b/network/header_test.go
@@ -8,6 +8,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -31,7 +32,7 @@
 // Guards against headers whose short lines take many times the memory of their text.
 var _ = It("a transport gives up a header of many short lines long before its greatest length", func() {
 	var err error
-	played := endless.Play(suite, endless.Response{Start: "HTTP/1.1 200 OK\r\n", Repeat: "a:\r\n"}, endless.Rate{Bytes: 1 << 10, Interval: 1}, func(ctx context.Context, n hbs.Network, server netip.AddrPort) {
+	played := endless.Play(suite, endless.Response{Start: "HTTP/1.1 200 OK\r\n", Repeat: "a:\r\n"}, endless.Rate{Bytes: 1 << 10, Interval: time.Nanosecond}, func(ctx context.Context, n hbs.Network, server netip.AddrPort) {
 		_, err = getBody(ctx, network.NewTransport(n), server)
 	})
 	Expect(err).To(MatchError(network.ErrHeaderTooLarge))
