Review: the stand-ins are a test program

Change: the files of review/bed end in _test.go; review/build-2.sh builds them with go test -c. No case changes.

--- a/review/bed/doc.go
+++ /dev/null
@@ -1,6 +0,0 @@
-// Command bed runs one case of an independent review: it starts instances of
-// hornbeamstage as processes beside stand-ins for the platform's store, for endpoints
-// and for callers, on loopback addresses, and judges a rule by what the stand-ins saw.
-//
-// It is not part of the product, of CI or of the default test run.
-package main
--- a/review/bed/main.go
+++ b/review/bed/main_test.go
@@ -1,4 +1,4 @@
-package main
+package bed
 
 import (
 	"context"
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"testing"
 	"time"
 )
 
@@ -30,10 +31,14 @@
 	"path":      runPath,
 }
 
-func main() {
+// TestMain runs the case that the command line names. The default test run names none.
+func TestMain(m *testing.M) {
 	record := flag.String("record", "record.txt", "file to which the record is written")
 	program := flag.String("program", "target/hornbeamstage", "program of an instance")
 	flag.Parse()
+	if flag.NArg() == 0 {
+		os.Exit(m.Run())
+	}
 	os.Exit(runCase(flag.Arg(0), *record, *program))
 }
 
--- a/review/bed/record.go
+++ b/review/bed/record_test.go
@@ -1,4 +1,4 @@
-package main
+package bed
 
 import (
 	"fmt"
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # standard library. The program of an instance is built as deploy/system.toml says.
 set -e
 cd "$(dirname "$0")/.."
-go build -o target/review-bed ./review/bed
+go test -c -o target/review-bed ./review/bed
