--- a/review/bed/caller_test.go
+++ b/review/bed/caller_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -15,7 +14,7 @@
 
 // request is one request of a caller.
 type request struct {
-	Method, Path, Key string
+	Method, Path string
 	// Prompt is the header X-Prefix-Hash; empty for a plain service.
 	Prompt   string
 	Deadline time.Duration
@@ -63,9 +62,6 @@
 	r.Host = host
 	r.Header.Set("X-Request-Id", p.ID)
 	r.Header.Set("X-Deadline-Ms", strconv.FormatInt(q.Deadline.Milliseconds(), 10))
-	if q.Key != "" {
-		r.Header.Set("Api-Key", q.Key)
-	}
 	if q.Prompt != "" {
 		r.Header.Set("X-Model", modelName)
 		r.Header.Set("X-Token-Usage", "6400,60")
@@ -81,26 +77,6 @@
 	return p
 }
 
-// sendTarget sends a request without a body whose request target is written as it is.
-func (c *caller) sendTarget(q request) (p reply) {
-	p.ID, p.Instance, p.Sent = newRequestID(), c.instance.name, time.Now()
-	conn, err := net.DialTimeout("tcp", c.instance.front, time.Second)
-	if err != nil {
-		return p
-	}
-	defer conn.Close()
-	_ = conn.SetDeadline(time.Now().Add(q.Deadline + time.Second))
-	fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nConnection: close\r\n\r\n",
-		q.Method, q.Path, host, p.ID, q.Deadline.Milliseconds())
-	data, err := io.ReadAll(conn)
-	if status, _, ok := strings.Cut(strings.TrimPrefix(string(data), "HTTP/1.1 "), " "); ok {
-		p.Status, _ = strconv.Atoi(status)
-	}
-	p.Complete = err == nil
-	c.bed.record.add("%s sent to %s: %s %s, status %d", p.ID, c.instance.name, q.Method, q.Path, p.Status)
-	return p
-}
-
 // burst sends the requests of next, one each interval in turn to the callers, until
 // next reports false, and returns the replies once all have arrived.
 func burst(ctx context.Context, callers []*caller, interval time.Duration, next func(k int) (request, bool)) (replies []reply) {
--- a/review/bed/endpoint_test.go
+++ b/review/bed/endpoint_test.go
@@ -25,16 +25,13 @@
 
 // run is one request that an endpoint ran.
 type run struct {
-	Request, Endpoint, Tenant, Target, Host string
+	Request, Endpoint, Target string
 	// Version is that of the weights on which it began.
 	Version int
 	// Began is the time at which it began to run.
 	Began time.Time
 	// Body is the whole body of the answer.
 	Body string
-	// Foreign has the cached parts that it used and requests of other tenants made,
-	// with the tenant.
-	Foreign []string
 }
 
 // endpoint is a stand-in for an engine or an endpoint of a plain service.
@@ -42,6 +39,8 @@
 	ID, Service string
 	// Engine is set for an engine of modelName.
 	Engine bool
+	// Slots is the number of requests that it runs at once; 0 means the usual number.
+	Slots int
 	// Answer writes the answer to a request that runs.
 	Answer func(e *endpoint, w http.ResponseWriter, r *http.Request, n *run)
 
@@ -56,8 +55,8 @@
 	version  int
 	sequence int
 	busy     bool
-	// makers has the tenant whose request made each cached part, by salt and part.
-	makers map[string]string
+	// cached has the cached parts, by salt and part.
+	cached map[string]bool
 	events [][]any
 }
 
@@ -67,7 +66,14 @@
 	if err != nil {
 		return err
 	}
-	e.bed, e.address, e.born, e.version, e.makers = b, l.Addr().String(), time.Now().UnixMilli(), 1, map[string]string{}
+	switch {
+	case e.Slots != 0:
+	case e.Engine:
+		e.Slots = engineSlots
+	default:
+		e.Slots = serviceSlots
+	}
+	e.bed, e.address, e.born, e.version, e.cached = b, l.Addr().String(), time.Now().UnixMilli(), 1, map[string]bool{}
 	m := http.NewServeMux()
 	m.HandleFunc("GET /v1/report", e.serveReport)
 	m.HandleFunc("POST /v1/order", e.serveOrder)
@@ -98,12 +104,8 @@
 // register writes the endpoint's record.
 func (e *endpoint) register() error {
 	e.mu.Lock()
-	slots := serviceSlots
-	if e.Engine {
-		slots = engineSlots
-	}
 	spec := map[string]any{
-		"service": e.Service, "address": e.address, "zone": zone, "version": "v1", "slots": slots, "state": "ready",
+		"service": e.Service, "address": e.address, "zone": zone, "version": "v1", "slots": e.Slots, "state": "ready",
 		"cold-remaining-ms": 0, "sequence": 1, "born": e.born,
 	}
 	if e.Engine {
@@ -166,7 +168,7 @@
 	time.Sleep(loadTime)
 	e.mu.Lock()
 	e.version, e.busy = version, false
-	clear(e.makers)
+	clear(e.cached)
 	e.mu.Unlock()
 	e.bed.record.add("%s has version %d", e.ID, version)
 	_ = e.register()
@@ -200,14 +202,14 @@
 		e.mu.Unlock()
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
-	case e.busy:
+	case e.busy || e.running >= e.Slots:
 		w.Header().Set("X-Not-Executed", "1")
 		e.mu.Unlock()
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	n := &run{
-		Request: r.Header.Get("X-Request-Id"), Endpoint: e.ID, Tenant: r.Header.Get("X-Tenant"), Target: r.RequestURI, Host: r.Host,
+		Request: r.Header.Get("X-Request-Id"), Endpoint: e.ID, Target: r.RequestURI,
 		Version: e.version,
 	}
 	e.running++
@@ -215,7 +217,7 @@
 	if !e.Engine {
 		n.Began = time.Now()
 	}
-	n.Foreign = e.readPrompt(r.Header, n.Tenant)
+	e.readPrompt(r.Header)
 	e.runs = append(e.runs, n)
 	e.mu.Unlock()
 	defer func() {
@@ -223,7 +225,7 @@
 		e.running--
 		e.mu.Unlock()
 	}()
-	e.bed.record.add("%s runs %s of %q: %s", e.ID, n.Request, n.Tenant, r.RequestURI)
+	e.bed.record.add("%s runs %s: %s", e.ID, n.Request, r.RequestURI)
 	if e.Engine {
 		time.Sleep(firstTokenTime)
 		w.Header().Set("X-Weight-Versions", strconv.Itoa(n.Version))
@@ -232,29 +234,22 @@
 	e.Answer(e, w, r, n)
 }
 
-// readPrompt takes the parts of a prompt that are cached under the request's salt and
-// makes the others. It returns those that requests of other tenants made. The caller
-// holds mu.
-func (e *endpoint) readPrompt(h http.Header, tenant string) (foreign []string) {
+// readPrompt records the parts of a prompt that are cached from now on under the request's
+// salt. The caller holds mu.
+func (e *endpoint) readPrompt(h http.Header) {
 	if !e.Engine || h.Get("X-Prefix-Hash") == "" {
-		return nil
+		return
 	}
-	salt, found := h.Get("X-Cache-Salt"), true
+	salt := h.Get("X-Cache-Salt")
 	for _, part := range strings.Split(h.Get("X-Prefix-Hash"), ",") {
 		id, tokens, _ := strings.Cut(part, ":")
-		key := salt + " " + id
-		maker, cached := e.makers[key]
-		if found = found && cached; found {
-			if maker != tenant {
-				foreign = append(foreign, id+" of "+maker)
-			}
+		if e.cached[salt+" "+id] {
 			continue
 		}
-		e.makers[key] = tenant
+		e.cached[salt+" "+id] = true
 		n, _ := strconv.Atoi(tokens)
 		e.events = append(e.events, []any{len(e.events) + 1, "+", salt, id, n, modelName})
 	}
-	return foreign
 }
 
 // allRuns returns the requests that all endpoints ran.
--- a/review/bed/fleet_test.go
+++ b/review/bed/fleet_test.go
@@ -35,6 +35,8 @@
 	Program string
 	// Trouble is set unless the case runs without its disruption.
 	Trouble bool
+	// MemoryMB is the memory of an instance, in MB.
+	MemoryMB int
 
 	record    *record
 	store     *store
@@ -117,7 +119,7 @@
 		"node": name, "role": "instance", "machine-class": "edge", "serves": []string{"edge"},
 		"ip": "127.0.0.1", "zone": zone, "region": "midlands", "zones": map[string]string{zone: "midlands"},
 		"listen": map[string]string{"front": i.front, "ready-addr": i.ready},
-		"limits": map[string]any{"cpu-share": 0.4, "cpu-cores": 1, "memory-mb": 284, "max-fds": 4100, "link-mbps": 1000.0, "disk-mb": 0},
+		"limits": map[string]any{"cpu-share": 0.4, "cpu-cores": 1, "memory-mb": b.MemoryMB, "max-fds": 4100, "link-mbps": 1000.0, "disk-mb": 0},
 		"bounds": map[string]any{
 			"stable-window-ms": stableWindow.Milliseconds(), "drain-ms": 2000, "grace-s": graceTime.Seconds(), "loss-slack-ms": 200,
 			"config-deadline-ms": configDeadline.Milliseconds(), "rollback-slack-ms": 250, "strict-revoke": true, "revoke-ms": 5000,
@@ -236,7 +238,6 @@
 	Routes   []route          `json:"routes"`
 	Services []map[string]any `json:"services"`
 	Limits   map[string]any   `json:"limits"`
-	Tenants  []tenant         `json:"tenants,omitempty"`
 }
 
 type route struct {
@@ -255,13 +256,6 @@
 	Resumable   bool   `json:"resumable"`
 }
 
-type tenant struct {
-	Name     string   `json:"name"`
-	Keys     []string `json:"api-keys"`
-	Priority int      `json:"priority"`
-	Isolated bool     `json:"isolated"`
-}
-
 // limits are those of the pages' example of a configuration.
 var limits = map[string]any{"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 3000, "idle-timeout-ms": 15000}
 
--- a/review/bed/main_test.go
+++ b/review/bed/main_test.go
@@ -22,13 +22,15 @@
 // caseTimeout bounds a case.
 const caseTimeout = 110 * time.Second
 
+// defaultMemoryMB is the memory of an instance of softwold-ops, in MB.
+const defaultMemoryMB = 284
+
 // cases has the cases by name. Each returns how often the rule was broken.
 var cases = map[string]func(ctx context.Context, b *bed) (broken int, err error){
-	"isolation": runIsolation,
-	"splice":    runSplice,
-	"signals":   runSignals,
-	"weights":   runWeights,
-	"path":      runPath,
+	"splice":  runSplice,
+	"signals": runSignals,
+	"weights": runWeights,
+	"lone":    runLone,
 }
 
 // TestMain runs the case that the command line names. The default test run names none.
@@ -53,7 +55,7 @@
 	defer stop()
 	ctx, cancel := context.WithTimeout(ctx, caseTimeout)
 	defer cancel()
-	b := &bed{Program: program, Trouble: os.Getenv("TROUBLE") != "0", record: newRecord()}
+	b := &bed{MemoryMB: defaultMemoryMB, Program: program, Trouble: os.Getenv("TROUBLE") != "0", record: newRecord()}
 	defer b.close()
 	broken, err := f(ctx, b)
 	if err == nil {
