--- a/review/bed/caller_test.go
+++ b/review/bed/caller_test.go
@@ -52,8 +52,12 @@
 func (c *caller) send(ctx context.Context, q request) (p reply) {
 	p.ID, p.Instance, p.Sent = newRequestID(), c.instance.name, time.Now()
 	defer func() {
-		c.bed.record.add("%s sent to %s at %.3f: status %d, complete %t, %d bytes", p.ID, c.instance.name,
-			p.Sent.Sub(c.bed.record.start).Seconds(), p.Status, p.Complete, len(p.Body))
+		detail := ""
+		if p.Status >= http.StatusBadRequest {
+			detail = " " + p.Body
+		}
+		c.bed.record.add("%s sent to %s at %.3f: status %d, complete %t, %d bytes%s", p.ID, p.Instance,
+			p.Sent.Sub(c.bed.record.start).Seconds(), p.Status, p.Complete, len(p.Body), detail)
 	}()
 	r, err := http.NewRequestWithContext(ctx, q.Method, "http://"+c.instance.front+q.Path, strings.NewReader(q.Body))
 	if err != nil {
--- a/review/bed/weights_test.go
+++ b/review/bed/weights_test.go
@@ -14,7 +14,7 @@
 	const (
 		events   = 40
 		gap      = 200 * time.Millisecond // streams of 8 s
-		interval = 100 * time.Millisecond
+		interval = 40 * time.Millisecond
 		// warmUp is the time from the first request to the kill, downTime the time until
 		// the process is started again.
 		warmUp, downTime = 8 * time.Second, 500 * time.Millisecond
@@ -38,7 +38,7 @@
 	if err := b.store.put("versions", modelName, map[string]any{"model": modelName, "version": 1}); err != nil {
 		return 0, err
 	}
-	for k := range 6 {
+	for k := range 12 {
 		if err := b.addEndpoint(&endpoint{ID: fmt.Sprintf("i-engine%d", k), Service: "assist", Engine: true, Answer: streamAnswer(events, gap)}); err != nil {
 			return 0, err
 		}
