--- a/review/bed/caller_test.go
+++ b/review/bed/caller_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"strings"
 	"sync"
@@ -30,6 +31,10 @@
 	Body         string
 	// Complete is set if the answer had a proper end.
 	Complete bool
+	// Kept is set if the request was sent on a channel that had carried another one.
+	Kept bool
+	// GaveUp is set if the caller left before the answer's end.
+	GaveUp bool
 }
 
 // caller sends requests to one instance, on kept connections.
@@ -59,6 +64,8 @@
 		c.bed.record.add("%s sent to %s at %.3f: status %d, complete %t, %d bytes%s", p.ID, p.Instance,
 			p.Sent.Sub(c.bed.record.start).Seconds(), p.Status, p.Complete, len(p.Body), detail)
 	}()
+	defer func() { p.GaveUp = ctx.Err() != nil }()
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { p.Kept = i.Reused }})
 	r, err := http.NewRequestWithContext(ctx, q.Method, "http://"+c.instance.front+q.Path, strings.NewReader(q.Body))
 	if err != nil {
 		return p
--- a/review/bed/endpoint_test.go
+++ b/review/bed/endpoint_test.go
@@ -17,7 +17,7 @@
 	// endpoint of a plain service run at once.
 	engineSlots  = 64
 	serviceSlots = 6
-	// firstTokenTime is the time to the first token of an engine.
+	// firstTokenTime is the usual time to the first token of an engine.
 	firstTokenTime = 60 * time.Millisecond
 	// loadTime is the time in which an engine loads weights.
 	loadTime = 1300 * time.Millisecond
@@ -41,6 +41,8 @@
 	Engine bool
 	// Slots is the number of requests that it runs at once; 0 means the usual number.
 	Slots int
+	// FirstToken is the time to the first token of an engine; 0 means the usual one.
+	FirstToken time.Duration
 	// Answer writes the answer to a request that runs.
 	Answer func(e *endpoint, w http.ResponseWriter, r *http.Request, n *run)
 
@@ -74,6 +76,9 @@
 		e.Slots = serviceSlots
 	}
 	e.bed, e.address, e.born, e.version, e.cached = b, l.Addr().String(), time.Now().UnixMilli(), 1, map[string]bool{}
+	if e.FirstToken == 0 {
+		e.FirstToken = firstTokenTime
+	}
 	m := http.NewServeMux()
 	m.HandleFunc("GET /v1/report", e.serveReport)
 	m.HandleFunc("POST /v1/order", e.serveOrder)
@@ -213,7 +218,7 @@
 		Version: e.version,
 	}
 	e.running++
-	n.Began = time.Now().Add(firstTokenTime)
+	n.Began = time.Now().Add(e.FirstToken)
 	if !e.Engine {
 		n.Began = time.Now()
 	}
@@ -227,7 +232,7 @@
 	}()
 	e.bed.record.add("%s runs %s: %s", e.ID, n.Request, r.RequestURI)
 	if e.Engine {
-		time.Sleep(firstTokenTime)
+		time.Sleep(e.FirstToken)
 		w.Header().Set("X-Weight-Versions", strconv.Itoa(n.Version))
 	}
 	w.Header().Set("X-Instance-Stamp", "stamp-"+e.ID)
