dispatch: a spec sets the dispatcher's fields before it runs

Cause: runInEnv starts Dispatcher.Run, which reads Sender, before the spec set it. Nothing in the product sets a field after Run.

Change: runInEnvWith takes a function that sets the fields first. The spec's expectations are unchanged.

--- a/dispatch/overdue_test.go
+++ b/dispatch/overdue_test.go
@@ -12,6 +12,7 @@
 
 	hbs "github.com/hornbeamstage/hornbeamstage"
 	"github.com/hornbeamstage/hornbeamstage/attempt"
+	"github.com/hornbeamstage/hornbeamstage/dispatch"
 )
 
 // lateRunner is an attempt.Runner whose attempts end only some time after their
@@ -29,10 +30,10 @@
 
 // Guards against attempts that nothing ends and of which no line tells.
 var _ = DescribeTable("an attempt after its deadline", func(late time.Duration, lines int) {
-	runInEnv(func(env *testEnv) {
+	core, logs := observer.New(zap.ErrorLevel)
+	configure := func(d *dispatch.Dispatcher) { d.Sender, d.Log = lateRunner{late}, zap.New(core) }
+	runInEnvWith(configure, func(env *testEnv) {
 		env.addEndpoint(hbs.Endpoint{Kind: hbs.KindService}, http.NotFound)
-		core, logs := observer.New(zap.ErrorLevel)
-		env.d.Sender, env.d.Log = lateRunner{late}, zap.New(core)
 		req := &hbs.Request{ID: "r1", Class: hbs.ClassOnce, Deadline: time.Now().Add(time.Second)}
 		_, err := env.d.Serve(env.ctx, req, nil, &sink{})
 		env.Expect(err).To(HaveOccurred())
--- a/dispatch/testenv_test.go
+++ b/dispatch/testenv_test.go
@@ -55,6 +55,12 @@
 var policy = knob.NewFixed(attempt.Knobs, admission.Knobs, retry.Knobs, hedge.Knobs)
 
 func runInEnvWithPolicy(policy hbs.Policy, test func(env *testEnv)) {
+	runInEnvWith(func(d *dispatch.Dispatcher) { d.Policy = policy }, test)
+}
+
+// runInEnvWith runs test in virtual time, with a dispatcher whose fields configure
+// sets before it runs.
+func runInEnvWith(configure func(d *dispatch.Dispatcher), test func(env *testEnv)) {
 	synctest.Test(suite, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		env := &testEnv{Gomega: NewWithT(t), ctx: ctx, fabric: &memnet.Fabric{}, placer: &listPlacer{tail: time.Second}}
@@ -62,6 +68,7 @@
 			Placer: env.placer, Directory: env.placer, Network: env.fabric.Network("a"), Metrics: metrics.NewRegistry(),
 			Policy: policy,
 		}
+		configure(env.d)
 		env.wg.Go(func() { _ = env.d.Run(ctx) })
 		test(env)
 		cancel()
