converge: the limit of loads at once recovers and looks at the time left

Cause: the limit judged each load by the shortest one so far. The time of a load is known only roughly: it begins with the report that shows the engine as drained, read each 250 ms and some hundred milliseconds old. Nothing looked at the time left for the change either.

Change: loads are judged in groups of as many as the limit allows, by their median and with the delay of reports added. The reference is the fastest group; a slower one that loaded under the same or a lower limit replaces it. A slowed group lowers the limit in proportion. The limit stays within the share of the engines that may change. As many engines may change as have to for the change to end within the deployment's time less a takeover of the lease (lease plus lifetime of an order), but not while loads are slowed: then more of them at once do not end sooner.

--- a/converge/converge.go
+++ b/converge/converge.go
@@ -15,8 +15,10 @@
 //	    that the engine refuses a copy that arrives late or after a restart.
 //	C4. An engine drains its running requests before it loads, and refuses waiting
 //	    ones. So only a share of a model's engines changes at once, and no more in
-//	    total than the source of the weights can serve (loadLimiter). Instances are
-//	    notified before the order, so that they stop sending requests to the engine.
+//	    total than the source of the weights can serve (loadLimiter), or than have to
+//	    for the change to end in time, with time left for a takeover of the lease.
+//	    Instances are notified before the order, so that they stop sending requests to
+//	    the engine.
 //	C5. Only the engine's report and its record show whether an order took effect.
 //	    An order without effect is sent again after a new report.
 //	C6. After the process was suspended the grant is treated as lost, since the
@@ -74,6 +76,12 @@
 	// TargetVersion returns the desired version of a model's weights, the newest
 	// one that the platform has published; 0 for none.
 	TargetVersion func(hbs.ModelName) int64
+	// TimeLeft returns the time in which an engine's weights have to be replaced, not
+	// positive if they are overdue; ok is false if there is no limit.
+	TimeLeft func(e *hbs.Endpoint) (left time.Duration, ok bool)
+	// TakeoverTime is how long no instance holds the lease if its holder dies. A change
+	// is to end so much earlier than it has to; positive.
+	TakeoverTime time.Duration
 	// AnnounceChange announces to all instances that an engine is about to load a
 	// version.
 	AnnounceChange func(ctx context.Context, id hbs.EndpointID, version int64) error
@@ -151,7 +159,7 @@
 	c.limiter.record(o.drain, o.load)
 	if c.limiter.maxLoads != before {
 		c.Log.Info("loads at once changed", zap.Int("from", before), zap.Int("to", c.limiter.maxLoads),
-			zap.Duration("load", o.load), zap.Duration("shortest", c.limiter.shortest))
+			zap.Duration("load", o.load), zap.Duration("shortest", c.limiter.reference.median))
 	}
 }
 
@@ -198,7 +206,24 @@
 			byModel[e.Model]--
 		}
 	}
-	return byModel, c.limiter.maxChanges(engines) - len(c.running)
+	places := max(c.limiter.maxChanges(engines), c.limiter.inTime(c.timesLeft(r)))
+	return byModel, places - len(c.running)
+}
+
+// timesLeft returns the time left for each change of an outdated engine that has a
+// limit, in ascending order. Overdue changes are to end within a further TakeoverTime.
+func (c *Controller) timesLeft(r *hbs.Roster) (times []time.Duration) {
+	for i := range r.Endpoints {
+		e := &r.Endpoints[i]
+		if !isOutdated(e, c.TargetVersion) {
+			continue
+		}
+		if left, ok := c.TimeLeft(e); ok {
+			times = append(times, max(left, 2*c.TakeoverTime)-c.TakeoverTime)
+		}
+	}
+	slices.Sort(times)
+	return times
 }
 
 // Rollouts returns the live engines with older weights than target returns. Of
--- a/converge/limiter_test.go
+++ b/converge/limiter_test.go
@@ -1,6 +1,7 @@
 package converge
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -41,6 +42,13 @@
 	return l.maxLoads
 }
 
+// load feeds l the times of n changes.
+func (s source) load(l *loadLimiter, n int) {
+	for range n {
+		l.record(time.Second, s.loadTime(l.maxLoads))
+	}
+}
+
 var _ = DescribeTable("the limit of loads adapts to the capacity of the source", func(capacity, engines int) {
 	loads := source{capacity, 2 * time.Second}.converge(&loadLimiter{}, engines, time.Second)
 	Expect(loads).To(And(BeNumerically(">=", min(capacity, minLoads)), BeNumerically("<=", 2*capacity)))
@@ -66,6 +74,87 @@
 		Expect(l.maxChanges(24)).To(Equal(5))
 	})
 
+	// One short load made all later ones count as slowed: the limit fell to 2 for good
+	// (docs/incidents/loads-at-once-stay-low.md).
+	It("keeps its limit if one load is short among loads of different times", func() {
+		rnd := rand.New(rand.NewPCG(1, 1))
+		l := &loadLimiter{}
+		l.maxChanges(manyEngines)
+		first := l.maxLoads
+		times := between(rnd, 100*time.Millisecond, 570*time.Millisecond)
+		for i := range 45 {
+			load := times()
+			if i == 10 {
+				load = 65 * time.Millisecond
+			}
+			l.record(100*time.Millisecond, load)
+		}
+		times = between(rnd, 300*time.Millisecond, 470*time.Millisecond)
+		for range manyEngines {
+			l.record(100*time.Millisecond, times())
+		}
+		Expect(l.maxLoads).To(BeNumerically(">=", first))
+	})
+
+	// A limit that was lowered must not stay low.
+	It("rises again when the source has recovered", func() {
+		l := &loadLimiter{}
+		l.maxChanges(manyEngines)
+		first := l.maxLoads
+		for range manyEngines {
+			l.record(time.Second, 2*time.Second)
+		}
+		source{7, 2 * time.Second}.load(l, 2*manyEngines)
+		Expect(l.maxLoads).To(BeNumerically("<=", 2*7))
+		source{28, 2 * time.Second}.load(l, 2*manyEngines)
+		Expect(l.maxLoads).To(BeNumerically(">=", first))
+	})
+
+	// Loads that take longer for another reason than their number kept the limit low for
+	// good.
+	It("rises again when larger weights take longer to load", func() {
+		l := &loadLimiter{}
+		l.maxChanges(manyEngines)
+		first := l.maxLoads
+		source{28, 400 * time.Millisecond}.load(l, manyEngines)
+		source{28, time.Second}.load(l, 3*manyEngines)
+		Expect(l.maxLoads).To(BeNumerically(">=", first))
+	})
+
+	// A limit far above what loads at once let the loads of later versions overload the
+	// source before it came down.
+	It("stays within the share of the engines that may change", func() {
+		l := &loadLimiter{}
+		for range manyEngines {
+			l.maxChanges(12)
+			l.record(time.Second, time.Second)
+		}
+		l.maxChanges(12)
+		Expect(l.maxLoads).To(Equal(maxChanging(12)))
+	})
+
+	// The limit did not look at the time left for the change.
+	It("tells how many engines must change at once for the change to end in time", func() {
+		l := &loadLimiter{}
+		l.record(600*time.Millisecond-startDelay, 400*time.Millisecond)
+		Expect(l.inTime(nil)).To(BeZero())
+		Expect(l.inTime([]time.Duration{4 * time.Second, 4 * time.Second, 4 * time.Second, 4 * time.Second})).To(Equal(1))
+		Expect(l.inTime([]time.Duration{time.Second, time.Second, 10 * time.Second})).To(Equal(2))
+	})
+
+	// More engines than the source can serve would only be out of service for longer.
+	It("asks for no engines to change in time while loads are slowed", func() {
+		l := &loadLimiter{}
+		l.maxChanges(manyEngines)
+		source{28, 2 * time.Second}.load(l, manyEngines)
+		left := []time.Duration{time.Second, time.Second}
+		Expect(l.inTime(left)).To(BeNumerically(">", 0))
+		for range 10 {
+			l.record(time.Second, 4*time.Second)
+		}
+		Expect(l.inTime(left)).To(BeZero())
+	})
+
 	It("ignores a load that was not observed", func() {
 		l := &loadLimiter{maxLoads: 2}
 		l.record(0, 0)
--- /dev/null
+++ b/converge/rollout_test.go
@@ -0,0 +1,375 @@
+package converge
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	hbs "github.com/hornbeamstage/hornbeamstage"
+	"github.com/hornbeamstage/hornbeamstage/delay"
+	"github.com/hornbeamstage/hornbeamstage/knob"
+	"github.com/hornbeamstage/hornbeamstage/lease"
+	"github.com/hornbeamstage/hornbeamstage/standin/memnet"
+	"github.com/hornbeamstage/hornbeamstage/standin/objects"
+)
+
+const (
+	testModel  = hbs.ModelName("m")
+	testDomain = hbs.DomainName("d")
+	// reportAge is the age of the state in an engine's report.
+	reportAge = 200 * time.Millisecond
+)
+
+// rollout is a controller with engines of one model, in a synctest bubble.
+type rollout struct {
+	*WithT
+	// draining and loading return how long one engine drains and, beside others that
+	// load at the same time, loads.
+	draining func() time.Duration
+	loading  func(atOnce int) time.Duration
+	// late returns how long after its arrival an order takes effect that gets no
+	// response, 0 for an order that gets one.
+	late func() time.Duration
+	// silent reports whether an engine that has accepted so many orders gives no
+	// response.
+	silent func(engine, accepted int) bool
+
+	ctx     context.Context
+	wg      conc.WaitGroup
+	fabric  memnet.Fabric
+	engines []*orderedEngine
+
+	mu      sync.Mutex
+	roster  *hbs.Roster
+	changed chan struct{}
+	target  int64
+	named   time.Time
+	// loads is the number of engines that load, changing that of those that drain or
+	// load, mostChanging the largest one so far.
+	loads, changing, mostChanging int
+}
+
+// orderedEngine is an engine of a rollout. Its fields are guarded by rollout.mu.
+type orderedEngine struct {
+	*rollout
+	index    int
+	version  int64
+	accepted int
+	busy     bool
+	running  int
+	// reports has all reports so far, the newest last.
+	reports []timedReport
+}
+
+// timedReport is an engine's report and when it became true.
+type timedReport struct {
+	at   time.Time
+	body []byte
+}
+
+// withRollout runs f with n engines that have version 1 of the weights.
+func withRollout(n int, r *rollout, f func(r *rollout)) {
+	synctest.Test(suite, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		r.WithT, r.ctx, r.target = NewWithT(t), ctx, 1
+		r.roster, r.changed = &hbs.Roster{}, make(chan struct{})
+		defer r.wg.Wait()
+		defer cancel()
+		for i := range n {
+			r.startEngine(i)
+		}
+		r.startController()
+		time.Sleep(time.Second)
+		f(r)
+	})
+}
+
+// Roster implements hornbeamstage.Directory.
+func (r *rollout) Roster() *hbs.Roster {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.roster
+}
+
+// Changed implements hornbeamstage.Directory.
+func (r *rollout) Changed() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.changed
+}
+
+func (r *rollout) targetVersion(hbs.ModelName) int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.target
+}
+
+// publish names a version of the weights.
+func (r *rollout) publish(version int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.target, r.named = version, time.Now()
+}
+
+// endsInTime publishes a version and expects all engines to have it so early that a
+// takeover of the lease would have been possible meanwhile.
+func (r *rollout) endsInTime(version int64) {
+	r.publish(version)
+	time.Sleep(convergeTime - takeoverTime)
+	r.Expect(r.outdated()).To(BeZero())
+}
+
+// locked calls f while no engine calls the functions of r.
+func (r *rollout) locked(f func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f()
+}
+
+// timeLeft returns the time in which the weights of an engine have to be replaced.
+func (r *rollout) timeLeft(*hbs.Endpoint) (left time.Duration, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return convergeTime - time.Since(r.named), true
+}
+
+// outdated returns how many engines have older weights than the target.
+func (r *rollout) outdated() (n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, e := range r.engines {
+		if e.version < r.target {
+			n++
+		}
+	}
+	return n
+}
+
+func (r *rollout) startController() {
+	self := hbs.Instance{ID: "i", Domain: testDomain, State: hbs.InstanceLive}
+	r.roster.Instances = []hbs.Instance{self}
+	holder := &lease.Holder{
+		Platform: &objects.Client{Store: &objects.Store{}}, Self: self, Directory: r,
+		Policy: knob.NewFixed(lease.Knobs), Metrics: metrics.NewRegistry(),
+	}
+	c := &Controller{
+		Self: self.ID, Lease: holder, Directory: r, Network: r.fabric.Network(testDomain),
+		Metrics: metrics.NewRegistry(), Log: zap.NewNop(), TargetVersion: r.targetVersion,
+		AnnounceChange:    func(context.Context, hbs.EndpointID, int64) error { return nil },
+		OnWeightsReported: func(hbs.EndpointID, hbs.WeightsVersion, hbs.WeightsVersion) {},
+		OrderLifetime:     3 * time.Second, TimeLeft: r.timeLeft, TakeoverTime: takeoverTime, Suspended: func() time.Duration { return 0 },
+	}
+	r.wg.Go(func() { _ = holder.Run(r.ctx) })
+	r.wg.Go(func() { _ = c.Run(r.ctx) })
+}
+
+func (r *rollout) startEngine(i int) {
+	e := &orderedEngine{rollout: r, index: i, version: 1}
+	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 80)
+	r.engines = append(r.engines, e)
+	r.roster.Endpoints = append(r.roster.Endpoints, hbs.Endpoint{
+		ID: hbs.EndpointID(fmt.Sprintf("e%03d", i)), Kind: hbs.KindEngine, Domain: testDomain, Address: address,
+		State: hbs.StateLive, Incarnation: "1", Model: testModel, Weights: "1", Slots: 1,
+	})
+	e.note()
+	l, err := r.fabric.Network(testDomain).Listen(address)
+	r.Expect(err).NotTo(HaveOccurred())
+	m := http.NewServeMux()
+	m.HandleFunc("GET /v1/report", e.serveReport)
+	m.HandleFunc("POST /v1/order", e.serveOrder)
+	srv := &http.Server{Handler: m}
+	r.wg.Go(func() { _ = srv.Serve(l) })
+	r.wg.Go(func() {
+		<-r.ctx.Done()
+		_ = srv.Close()
+	})
+}
+
+// note adds a report of the current state. The caller holds mu or is alone.
+func (e *orderedEngine) note() {
+	body, err := json.Marshal(map[string]any{
+		"models": []any{map[string]any{"name": testModel, "version": e.version}},
+		"busy":   e.busy, "sequence": e.accepted, "running": e.running, "born": 1,
+	})
+	e.Expect(err).NotTo(HaveOccurred())
+	e.reports = append(e.reports, timedReport{time.Now(), body})
+}
+
+func (e *orderedEngine) isSilent() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.silent != nil && e.silent(e.index, e.accepted)
+}
+
+func (e *orderedEngine) serveReport(w http.ResponseWriter, req *http.Request) {
+	if e.isSilent() {
+		<-req.Context().Done()
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, r := range slices.Backward(e.reports) {
+		if time.Since(r.at) >= reportAge {
+			_, _ = w.Write(r.body)
+			return
+		}
+	}
+}
+
+func (e *orderedEngine) serveOrder(w http.ResponseWriter, req *http.Request) {
+	var o struct {
+		Version  int64 `json:"version"`
+		Expected int   `json:"precondition"`
+	}
+	e.Expect(json.NewDecoder(req.Body).Decode(&o)).To(Succeed())
+	if late := e.lateness(); late > 0 {
+		e.wg.Go(func() {
+			if delay.For(e.ctx, late) == nil {
+				e.apply(o.Version, o.Expected)
+			}
+		})
+		<-req.Context().Done()
+		return
+	}
+	if e.isSilent() {
+		<-req.Context().Done()
+		return
+	}
+	w.WriteHeader(e.apply(o.Version, o.Expected))
+}
+
+func (r *rollout) lateness() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.late == nil {
+		return 0
+	}
+	return r.late()
+}
+
+// apply accepts or refuses an order and returns the status of the response.
+func (e *orderedEngine) apply(version int64, expected int) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case e.version == version:
+		return http.StatusOK
+	case e.busy || e.accepted != expected:
+		return http.StatusConflict
+	}
+	e.accepted++
+	e.busy, e.running = true, 1
+	e.changing++
+	e.mostChanging = max(e.mostChanging, e.changing)
+	e.note()
+	drain := e.draining()
+	e.wg.Go(func() { e.change(drain, version) })
+	return http.StatusAccepted
+}
+
+// change drains the engine and loads a version.
+func (e *orderedEngine) change(drain time.Duration, version int64) {
+	if delay.For(e.ctx, drain) != nil {
+		return
+	}
+	e.mu.Lock()
+	e.running = 0
+	e.loads++
+	load := e.loading(e.loads)
+	e.note()
+	e.mu.Unlock()
+	if delay.For(e.ctx, load) != nil {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.loads--
+	e.changing--
+	e.busy, e.version = false, version
+	e.note()
+	next := *e.roster
+	next.Endpoints = slices.Clone(next.Endpoints)
+	next.Endpoints[e.index].Weights = hbs.WeightsVersion(strconv.FormatInt(version, 10))
+	e.roster = &next
+	close(e.changed)
+	e.changed = make(chan struct{})
+}
+
+// between returns a function that draws durations between a and b.
+func between(rnd *rand.Rand, a, b time.Duration) func() time.Duration {
+	return func() time.Duration { return a + time.Duration(rnd.Int64N(int64(b-a)+1)) }
+}
+
+// manyEngines is the number of engines of a large deployment.
+const manyEngines = 140
+
+// The bounds of a rollout.
+const (
+	// convergeTime is the time in which engines have to load a version, convergeAll that
+	// in which all but a few have loaded it in spite of faults.
+	convergeTime = 15 * time.Second
+	convergeAll  = 21 * time.Second
+	// takeoverTime is how long no instance holds the lease after its holder has died.
+	takeoverTime = 6 * time.Second
+)
+
+var _ = Describe("a rollout to many engines", func() {
+	var r *rollout
+	var rnd *rand.Rand
+	BeforeEach(func() {
+		rnd = rand.New(rand.NewPCG(1, 1))
+		load := between(rnd, 300*time.Millisecond, 500*time.Millisecond)
+		r = &rollout{
+			draining: between(rnd, 100*time.Millisecond, 1500*time.Millisecond),
+			loading:  func(int) time.Duration { return load() },
+		}
+	})
+
+	// The times of loads are known only roughly. The shortest one made nearly all others
+	// count as slowed, and two engines loaded at once until the end.
+	It("leaves the time for a takeover of the lease", func() {
+		withRollout(manyEngines, r, func(r *rollout) { r.endsInTime(2) })
+	})
+
+	// The limit that an overload had lowered did not look at the time left after it.
+	It("ends in time if the source of the weights was overloaded before", func() {
+		load, slowdown := r.loading, time.Duration(1)
+		r.loading = func(n int) time.Duration { return slowdown * load(n) }
+		withRollout(manyEngines, r, func(r *rollout) {
+			r.publish(2)
+			time.Sleep(2 * time.Second)
+			r.locked(func() { slowdown = 8 })
+			time.Sleep(5 * time.Second)
+			r.locked(func() { slowdown = 1 })
+			r.publish(3)
+			time.Sleep(convergeTime)
+			r.Expect(r.outdated()).To(BeZero())
+		})
+	})
+
+	It("lets no more engines change at once than may", func() {
+		withRollout(manyEngines, r, func(r *rollout) {
+			for version := int64(2); version < 5; version++ {
+				r.publish(version)
+				time.Sleep(convergeTime)
+			}
+			r.Expect(r.outdated()).To(BeZero())
+			r.Expect(r.mostChanging).To(BeNumerically("<=", maxChanging(manyEngines)))
+		})
+	})
+})
--- a/gateway/assemble.go
+++ b/gateway/assemble.go
@@ -190,6 +190,7 @@
 		Self: self.ID, Lease: g.lease, Directory: g.directory, Network: g.Network, Metrics: g.Metrics,
 		Log: g.Log.Named("converge"), OnHeader: g.observeHeader, TargetVersion: g.versions.target, Suspended: g.Suspended, AnnounceChange: g.publishTarget,
 		OnWeightsReported: g.directory.SetReportedWeights, OrderLifetime: g.orderLifetime(),
+		TimeLeft: g.versions.timeLeft, TakeoverTime: leaseTime + g.orderLifetime(),
 	}
 }
 
