converge: an engine that doesn't change makes room for others soon

Cause: a step keeps one of the places of engines that change. An order without an answer kept it for the timeout of the call (1 s) and after that for the time that a report may take to show it (1 s, at reads 0.25 s apart); an engine that did not answer kept it for 1 s; one that fell silent after it had accepted an order kept it for 12 s. Nothing drained or loaded meanwhile.

Change: the first read of the report and the order wait 0.5 s for their answer. Whether an order has an effect is judged from when it was sent. A step ends after 3 s without a report. Orders still name the number of orders that the engine has accepted, so a late one and the next one can't both be carried out.

--- a/converge/converge.go
+++ b/converge/converge.go
@@ -18,7 +18,10 @@
 //	    total than the source of the weights can serve (loadLimiter), or than have to
 //	    for the change to end in time, with time left for a takeover of the lease.
 //	    Instances are notified before the order, so that they stop sending requests to
-//	    the engine.
+//	    the engine. An engine counts as changing from the start of its step on. It no
+//	    longer does if it does not answer soon, if reports show no effect of the order,
+//	    or if it falls silent for long. If the order takes effect later, the engine
+//	    counts again once a step finds it busy.
 //	C5. Only the engine's report and its record show whether an order took effect.
 //	    An order without effect is sent again after a new report.
 //	C6. After the process was suspended the grant is treated as lost, since the
--- a/converge/rollout_test.go
+++ b/converge/rollout_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
@@ -46,8 +47,10 @@
 	// response, 0 for an order that gets one.
 	late func() time.Duration
 	// silent reports whether an engine that has accepted so many orders gives no
-	// response.
+	// response; it changes no further then.
 	silent func(engine, accepted int) bool
+	// firstOrders has the time at which each engine got its first order.
+	firstOrders map[int]time.Time
 
 	ctx     context.Context
 	wg      conc.WaitGroup
@@ -88,6 +91,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		r.WithT, r.ctx, r.target = NewWithT(t), ctx, 1
 		r.roster, r.changed = &hbs.Roster{}, make(chan struct{})
+		r.firstOrders = map[int]time.Time{}
 		defer r.wg.Wait()
 		defer cancel()
 		for i := range n {
@@ -134,6 +138,15 @@
 	r.Expect(r.outdated()).To(BeZero())
 }
 
+// secondOrderAfter returns the longest time from the first order to that of another
+// engine.
+func (r *rollout) secondOrderAfter() (d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	times := slices.SortedFunc(maps.Values(r.firstOrders), time.Time.Compare)
+	return times[len(times)-1].Sub(times[0])
+}
+
 // locked calls f while no engine calls the functions of r.
 func (r *rollout) locked(f func()) {
 	r.mu.Lock()
@@ -237,6 +250,7 @@
 		Expected int   `json:"precondition"`
 	}
 	e.Expect(json.NewDecoder(req.Body).Decode(&o)).To(Succeed())
+	e.noteOrder()
 	if late := e.lateness(); late > 0 {
 		e.wg.Go(func() {
 			if delay.For(e.ctx, late) == nil {
@@ -253,6 +267,14 @@
 	w.WriteHeader(e.apply(o.Version, o.Expected))
 }
 
+func (e *orderedEngine) noteOrder() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if _, ok := e.firstOrders[e.index]; !ok {
+		e.firstOrders[e.index] = time.Now()
+	}
+}
+
 func (r *rollout) lateness() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -293,7 +315,7 @@
 	load := e.loading(e.loads)
 	e.note()
 	e.mu.Unlock()
-	if delay.For(e.ctx, load) != nil {
+	if delay.For(e.ctx, load) != nil || e.isSilent() {
 		return
 	}
 	e.mu.Lock()
@@ -362,6 +384,56 @@
 		})
 	})
 
+	never := func() time.Duration { return time.Hour }
+
+	// An order without a response kept the place of an engine that changes for a timeout
+	// and then for as long as a report may take to show it, one after the other.
+	It("orders the next engine as soon as reports show that an order has no effect", func() {
+		r.late = never
+		withRollout(3, r, func(r *rollout) {
+			r.publish(2)
+			time.Sleep(convergeTime)
+			r.Expect(r.secondOrderAfter()).To(BeNumerically("<=", reportDelay+drainPollInterval+pollInterval+announceDelay))
+		})
+	})
+
+	// An engine that did not respond kept the place of one that changes for a second.
+	It("orders the next engine soon if one does not respond", func() {
+		r.silent = func(engine, _ int) bool { return engine < 2 }
+		withRollout(3, r, func(r *rollout) {
+			r.publish(2)
+			time.Sleep(convergeTime)
+			r.Expect(r.firstOrders).To(HaveLen(1))
+			r.Expect(r.firstOrders[2].Sub(r.named)).To(BeNumerically("<=", answerTimeout+2*pollInterval+announceDelay))
+		})
+	})
+
+	// Engines that fell silent while they changed kept their places for 12 s.
+	It("ends in time for the others if a third of the engines falls silent while it changes", func() {
+		silent := func(engine int) bool { return engine%3 == 0 }
+		r.silent = func(engine, accepted int) bool { return accepted > 0 && silent(engine) }
+		withRollout(manyEngines, r, func(r *rollout) {
+			r.publish(2)
+			time.Sleep(convergeTime - takeoverTime)
+			r.Expect(r.outdated()).To(Equal((manyEngines + 2) / 3))
+		})
+	})
+
+	// Orders without a response kept the places of engines that change.
+	It("ends in time if half of the orders get no response and are carried out late", func() {
+		r.late = func() time.Duration {
+			if rnd.IntN(2) == 0 {
+				return 0
+			}
+			return between(rnd, 2*time.Second, 12*time.Second)()
+		}
+		withRollout(manyEngines, r, func(r *rollout) {
+			r.publish(2)
+			time.Sleep(convergeAll)
+			r.Expect(r.outdated()).To(BeZero())
+		})
+	})
+
 	It("lets no more engines change at once than may", func() {
 		withRollout(manyEngines, r, func(r *rollout) {
 			for version := int64(2); version < 5; version++ {
--- a/converge/step.go
+++ b/converge/step.go
@@ -21,8 +21,13 @@
 	// engine a little.
 	drainPollInterval = 250 * time.Millisecond
 	loadPollInterval  = time.Second
+	// answerTimeout bounds the first answer of an engine in a step and its answer to the
+	// order. It is short, since the step holds the place of an engine that changes.
+	answerTimeout = 500 * time.Millisecond
 	// reportDelay is how long a report may take to reflect an order.
 	reportDelay = time.Second
+	// maxSilence is the longest time without a report of an engine that changes.
+	maxSilence = 3 * callTimeout
 	// stepTimeout bounds a step. The engine may still load its weights later.
 	stepTimeout = 2 * MaxChangeTime
 )
@@ -33,9 +38,10 @@
 	engine          hbs.Endpoint
 	fence           uint64
 	suspendedBefore time.Duration
-	// ordered is set once the step has sent an order, accepted once the engine has
-	// accepted it.
-	ordered, accepted bool
+	// ordered is when the step sent its order, zero before. accepted is set once the
+	// engine has accepted it.
+	ordered  time.Time
+	accepted bool
 }
 
 // outcome is the result of a step.
@@ -49,7 +55,7 @@
 }
 
 // run sends one order and waits until the engine has other weights, the order has
-// no effect, the engine is removed or restarted, or the lease is lost.
+// no effect, the engine is silent, removed or restarted, or the lease is lost.
 func (s *step) run(ctx context.Context) outcome {
 	version, err := s.sendOrder(ctx)
 	if err != nil {
@@ -79,7 +85,7 @@
 	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
 	defer cancel()
 	version = s.TargetVersion(s.engine.Model)
-	report, err := s.report(ctx)
+	report, err := s.firstReport(ctx)
 	if err != nil {
 		return 0, err
 	}
@@ -93,7 +99,7 @@
 	if err := delay.For(ctx, announceDelay); err != nil {
 		return 0, err
 	}
-	s.ordered = true
+	s.ordered = time.Now()
 	verdict, err := s.order(ctx, &platform.WeightsOrder{
 		Model: s.engine.Model, Version: version, Holder: s.Self, Fence: s.fence, ExpectedOrders: report.AcceptedOrders,
 	})
@@ -115,9 +121,13 @@
 // shows them without delay; the report shows when its requests have drained.
 func (s *step) waitForWeights(ctx context.Context, version int64) outcome {
 	start := time.Now()
+	reported := start
 	var drained time.Time
-	for time.Since(start) < stepTimeout && s.isCurrent(ctx) {
+	for time.Since(start) < stepTimeout && time.Since(reported) < maxSilence && s.isCurrent(ctx) {
 		r, err := s.report(ctx)
+		if err == nil {
+			reported = time.Now()
+		}
 		current := r.Weights[s.engine.Model]
 		switch {
 		case err != nil:
@@ -126,10 +136,10 @@
 			s.OnWeightsReported(s.engine.ID, s.engine.Weights, platform.FormatWeights(current))
 		case r.Busy && r.Running == 0 && drained.IsZero():
 			drained = time.Now()
-		case !r.Busy && !s.ordered:
+		case !r.Busy && s.ordered.IsZero():
 			// An order that this step did not send is complete.
 			return outcome{engine: s.engine.ID}
-		case !r.Busy && time.Since(start) > reportDelay:
+		case !r.Busy && time.Since(s.ordered) >= reportDelay:
 			s.Log.Warn("order without effect", zap.String("endpoint", string(s.engine.ID)), zap.Int64("version", version))
 			return outcome{engine: s.engine.ID, failed: true}
 		}
@@ -164,6 +174,13 @@
 	return o
 }
 
+// firstReport reads the report of an engine that is not known to change.
+func (s *step) firstReport(ctx context.Context) (r platform.EngineReport, err error) {
+	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
+	return s.report(ctx)
+}
+
 // report reads the engine's report.
 func (s *step) report(ctx context.Context) (r platform.EngineReport, err error) {
 	defer func() { err = errors.Wrap(err, "read report") }()
@@ -196,7 +213,7 @@
 		}
 		return use.Write(write)
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
 	defer cancel()
 	c := s.call(http.MethodPost, platform.OrderPath, body, guard)
 	status, _, err := c.Do(ctx)
