admission: long work doesn't wait for endpoints that get no new work

Cause: long work that finds its places at the endpoints taken waits for one. Endpoints that get no new work (they leave, or their weights are too old) counted too, so that a request waited until its deadline where none of the model's endpoints could take it any more.

Change: only endpoints that get new work count.

Test: the spec failed with deadline_unreachable, after the whole wait, in place of no_endpoint at once.

--- a/admission/accounting_test.go
+++ b/admission/accounting_test.go
@@ -40,6 +40,25 @@
 		})
 	})
 
+	// Guards against long work that waits until its deadline for a place at endpoints that
+	// get no new work, as their weights are too old or they leave.
+	It("refuses long work at once if the endpoints whose places it has taken get no new work", func() {
+		synctest.Test(suiteT, func(t *testing.T) {
+			g := NewWithT(t)
+			s := newFakePlacer(1, 4)
+			policy := knob.NewFixed(admission.Knobs).With(admission.KnobLongTokens, 10).With(admission.KnobLongSlots, 0.25)
+			c := &admission.Controller{Placer: s, Directory: s, Policy: policy, Metrics: metrics.NewRegistry()}
+			long := &hbs.Request{ID: "r", Model: "m", ExpectedTokens: 1000, Deadline: time.Now().Add(time.Hour)}
+			_, err := c.Place(context.Background(), long)
+			g.Expect(err).NotTo(HaveOccurred())
+			s.endpoints[0].State = hbs.StateDraining
+			asked := time.Now()
+			_, err = c.Place(context.Background(), long)
+			g.Expect(hbs.AsRefusal(err).Reason).To(Equal(hbs.ReasonNoEndpoint))
+			g.Expect(time.Since(asked)).To(BeZero())
+		})
+	})
+
 	It("counts the waiting requests of all queues", func() {
 		synctest.Test(suiteT, func(t *testing.T) {
 			g := NewWithT(t)
--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -61,7 +61,7 @@
 	defer s.mu.Unlock()
 	err := hbs.ErrNoEndpoint
 	for _, e := range s.endpoints {
-		if slices.Contains(avoid, e.ID) {
+		if e.State == hbs.StateDraining || slices.Contains(avoid, e.ID) {
 			continue
 		}
 		if err = hbs.ErrFull; s.reserved[e.ID] < e.Slots {
--- a/admission/long_counts.go
+++ b/admission/long_counts.go
@@ -59,7 +59,8 @@
 	}
 }
 
-// endpointsAtLimit returns the endpoints that accept no more long work.
+// endpointsAtLimit returns the endpoints that accept no more long work for now. Those that
+// get no new work at all are not among them: waiting for a place there doesn't help.
 func (l *longCounts) endpointsAtLimit(d hbs.Directory, p hbs.Policy, req *hbs.Request) []hbs.EndpointID {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -72,6 +73,9 @@
 	endpoints := d.Roster().Endpoints
 	for i := range endpoints {
 		e := &endpoints[i]
+		if e.State == hbs.StateDraining || e.State == hbs.StateLeaving {
+			continue
+		}
 		limit := max(int(share*float64(e.Slots)), 1)
 		if l.local[e.ID]+others[xxhash.Sum64String(string(e.ID))] >= limit {
 			ids = append(ids, e.ID)
