gateway: no work on due weights at instances in contact with the store

Cause: while the weights of all engines of a model are due, rule 6 of roster left those with the newest ones in use, as an instance couldn't tell what excuses old weights.

Change: an instance notes for how long its watches of the versions and of the engines' records have been in contact with the store. If that is the whole time in which weights are to be replaced, engines whose weights are due get no request from it, also if that is all of them; requests are refused at once as not run, with Retry-After, until one engine has the newer weights. After an outage the time starts anew: who was cut off serves on. A failed call, a suspension and a start say nothing of the store; they only suspend the bound until contact has lasted for stable-window-ms, which is read from the platform's settings.

Conclusion: the rule holds where the store was in order; the price is refused requests while no engine has the newer weights.

--- a/gateway/assemble.go
+++ b/gateway/assemble.go
@@ -113,13 +113,20 @@
 	}
 	g.presence = &presence.Counter{Platform: g.store, Self: self.ID, Log: g.Log.Named("presence")}
 	g.routes = &routeState{Suspended: g.Suspended}
-	g.versions = &weightsVersions{Converge: s.Bounds.ConvergeTime, Suspended: g.Suspended}
+	g.versions = &weightsVersions{
+		Converge: s.Bounds.ConvergeTime, Suspended: g.Suspended, VersionWatch: g.newContact(), EngineWatch: g.newContact(),
+	}
 	g.directory = &roster.Directory{
 		Self: self, RecoveryGrace: recordReturnTime, ChangeTimeout: converge.MaxChangeTime,
-		TooOld: g.versions.tooOld, Due: g.versions.due, Rollouts: g.rollouts, Log: g.Log.Named("roster"),
+		TooOld: g.versions.tooOld, Due: g.versions.due, Barred: g.versions.barred, Rollouts: g.rollouts, Log: g.Log.Named("roster"),
 	}
 }
 
+// newContact returns the contact of a watch that has not begun.
+func (g *Gateway) newContact() *contact {
+	return &contact{StableTime: g.PlatformSettings.Bounds.StableTime, Suspended: g.Suspended}
+}
+
 // writeAgain makes the components write again what a restored store may have lost.
 func (g *Gateway) writeAgain() {
 	g.presence.Wake()
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -54,6 +54,13 @@
 	// leaseTime is the time after the last order of one holder in which no other
 	// may order.
 	leaseTime = 3 * time.Second
+	// stableTime is the time in contact with the store from which limits on time bind an
+	// instance.
+	stableTime = 3 * time.Second
+	// outageTime is the length of an outage of the store during which keys stay valid.
+	outageTime = 4500 * time.Millisecond
+	// watchTime is the longest time until a watch shows that the store is gone.
+	watchTime = 2100 * time.Millisecond
 	// handOverTime is the longest time from the stop signal for a lease holder to
 	// the first order of its successor.
 	handOverTime = 6 * time.Second
@@ -188,7 +195,7 @@
 			Store: address(hostStore, 80), Form: platform.FormObjects, ReadsPerSecond: 2000, WritesPerSecond: 400,
 			Bounds: platform.Bounds{
 				Grace: graceTime, ConfigTime: 2 * time.Second, RevokeTime: revokeTime, StrictRevoke: true,
-				RetryRatio: 0.2, RetrySlack: 54, LeaseTime: leaseTime, ConvergeTime: convergeTime,
+				RetryRatio: 0.2, RetrySlack: 54, LeaseTime: leaseTime, ConvergeTime: convergeTime, StableTime: stableTime,
 			},
 		},
 		Network: f.fabric.Network(domain), Log: f.log, Metrics: metrics.NewRegistry(),
--- a/gateway/objecthandlers.go
+++ b/gateway/objecthandlers.go
@@ -19,6 +19,8 @@
 	put func(*hbs.Object)
 	// confirm reports that everything up to asOf was applied.
 	confirm func(asOf time.Time)
+	// contact is told of the watch; may be nil.
+	contact *contact
 }
 
 func (h *upsertHandler) replace(objs []hbs.Object) {
@@ -33,9 +35,24 @@
 	}
 }
 
-func (h *upsertHandler) synced(asOf time.Time) { h.confirm(asOf) }
+func (h *upsertHandler) synced(asOf time.Time) {
+	h.confirm(asOf)
+	if h.contact != nil {
+		h.contact.confirm()
+	}
+}
+
+func (h *upsertHandler) interrupted() {
+	if h.contact != nil {
+		h.contact.interrupt()
+	}
+}
 
-func (h *upsertHandler) reconnected() {}
+func (h *upsertHandler) reconnected() {
+	if h.contact != nil {
+		h.contact.regain()
+	}
+}
 
 // configHandler returns the handler that updates the route table.
 func (g *Gateway) configHandler() objectHandler {
@@ -155,9 +172,14 @@
 	h.Log.Warn(message, zap.String("endpoint", obj.Name), zap.Uint64("revision", uint64(obj.Revision)), zap.Error(err))
 }
 
-func (h *endpointHandler) synced(time.Time) {}
+func (h *endpointHandler) synced(time.Time) { h.versions.EngineWatch.confirm() }
 
-func (h *endpointHandler) reconnected() { h.directory.PlatformRecovered() }
+func (h *endpointHandler) interrupted() { h.versions.EngineWatch.interrupt() }
+
+func (h *endpointHandler) reconnected() {
+	h.directory.PlatformRecovered()
+	h.versions.EngineWatch.regain()
+}
 
 // versionHandler returns the handler that updates the published weights
 // versions.
@@ -168,6 +190,7 @@
 	return &upsertHandler{
 		put:     func(obj *hbs.Object) { g.applyVersion(obj, asOf) },
 		confirm: func(at time.Time) { asOf = moment{at, g.Suspended()} },
+		contact: g.versions.VersionWatch,
 	}
 }
 
@@ -212,4 +235,6 @@
 
 func (h *crashHandler) synced(time.Time) { h.sharer.Read() }
 
+func (h *crashHandler) interrupted() {}
+
 func (h *crashHandler) reconnected() {}
--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -19,6 +19,9 @@
 	// Suspended returns the total time for which the machine has been
 	// suspended. The monotonic clock doesn't advance while it is.
 	Suspended func() time.Duration
+	// VersionWatch and EngineWatch tell of the watches of the versions and of the
+	// engines' records.
+	VersionWatch, EngineWatch *contact
 
 	mu      sync.Mutex
 	byModel map[hbs.ModelName][]publication
@@ -127,6 +130,30 @@
 	return ok && left <= 0
 }
 
+// lastSendTime is how long before the weights of an engine are due it goes out of use for
+// instances that limits on time bind: they check the roster now and then, and a request
+// takes a while from its placement until it is sent.
+const lastSendTime = expireInterval + connectTimeout + cancelTime
+
+// barred reports whether e must get no request even if no engine has newer weights. That
+// is so when they are due and this instance has been in contact with the store for the
+// whole time in which they had to be replaced: nothing excuses them then.
+func (v *weightsVersions) barred(e *hbs.Endpoint) bool {
+	n, ok := v.replacement(e)
+	if !ok || v.Converge <= 0 {
+		return false
+	}
+	age := v.elapsed(n.notBefore)
+	for _, c := range []*contact{v.VersionWatch, v.EngineWatch} {
+		regained, stable := c.stable()
+		if !stable {
+			return false
+		}
+		age = min(age, v.elapsed(regained))
+	}
+	return age > v.Converge-lastSendTime
+}
+
 // replacement returns the oldest publication that is newer than the weights of e, if
 // there is one. Its notBefore is the earliest one of all newer publications.
 func (v *weightsVersions) replacement(e *hbs.Endpoint) (n publication, ok bool) {
@@ -149,7 +176,7 @@
 
 // checkStart reports whether a request that waits at e must not begin there any more,
 // and otherwise when to check again. Engines whose weights are due but that are still
-// in use may begin requests: no other engine has newer weights. A timer stands still
+// in use may begin requests (rule 6 of package roster). A timer stands still
 // while the machine is suspended, and e may go out of use, so it checks often.
 func (g *Gateway) checkStart(e *hbs.Endpoint) (next time.Duration, end bool) {
 	if e.Kind != hbs.KindEngine {
--- a/gateway/versions_test.go
+++ b/gateway/versions_test.go
@@ -65,6 +65,50 @@
 	}
 }
 
+// confirmFor confirms both watches of v often, for d.
+func confirmFor(v *weightsVersions, d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(watchWait / 4) {
+		v.VersionWatch.confirm()
+		v.EngineWatch.confirm()
+	}
+}
+
+// Guards against work on replaced weights (VERSION), and against refused requests at
+// instances that can't know whether something excuses old weights.
+func TestWeightsAreBarredOnlyInContactWithTheStore(t *testing.T) {
+	const stable = 3 * time.Second
+	suspended := time.Duration(0)
+	for name, c := range map[string]struct {
+		disturb func(v *weightsVersions)
+		// after is how long after the disturbance the weights are barred.
+		after time.Duration
+	}{
+		"undisturbed":             {func(*weightsVersions) {}, 0},
+		"a failed call":           {func(v *weightsVersions) { v.EngineWatch.interrupt() }, stable},
+		"a watch without answers": {func(*weightsVersions) { time.Sleep(2 * contactGap) }, stable},
+		"a suspension":            {func(*weightsVersions) { suspended += time.Minute }, stable},
+		"an outage":               {func(v *weightsVersions) { v.VersionWatch.regain() }, replaceTime - lastSendTime},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				v := newVersions(&suspended, 0)
+				v.VersionWatch, v.EngineWatch = &contact{StableTime: stable, Suspended: v.Suspended}, &contact{StableTime: stable, Suspended: v.Suspended}
+				confirmFor(v, replaceTime-time.Second)
+				g.Expect(v.barred(oldEngine)).To(BeFalse())
+				confirmFor(v, time.Second)
+				g.Expect(v.barred(oldEngine)).To(BeTrue())
+				c.disturb(v)
+				g.Expect(v.barred(oldEngine)).To(Equal(c.after == 0))
+				confirmFor(v, c.after-time.Second)
+				g.Expect(v.barred(oldEngine)).To(Equal(c.after == 0))
+				confirmFor(v, 2*time.Second)
+				g.Expect(v.barred(oldEngine)).To(BeTrue())
+			})
+		})
+	}
+}
+
 // Guards against revoked keys in use: the age of a table that was never known to be
 // the newest was negative on machines that had been suspended before.
 func TestATableThatWasNeverConfirmedIsOld(t *testing.T) {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -20,7 +20,8 @@
 //  6. An engine whose weights are too old gets no new work while another engine of
 //     its model that gets work has weights that aren't. While the weights of all are too old,
 //     those get work whose weights are not due yet, and while all are due those
-//     with the newest ones: old answers are better than none.
+//     with the newest ones, unless they are barred: old answers are better than none
+//     where an instance can't have known better.
 //  7. The roster marks the engines with older weights than the newest version,
 //     and among them those that are next to change.
 //  8. A store that was restored from a copy may have older records again. An
@@ -60,6 +61,9 @@
 	// Due reports whether an engine's weights, which are too old, were to be replaced
 	// by now; nil means always.
 	Due func(*hbs.Endpoint) bool
+	// Barred reports whether an engine, whose weights are due, must get no work even if no
+	// other engine of its model has better ones; nil means never.
+	Barred func(*hbs.Endpoint) bool
 	// Rollouts returns the rollout state of the engines with older weights than the
 	// newest version (rule 7); nil means that there are none.
 	Rollouts func([]hbs.Endpoint) map[hbs.EndpointID]hbs.Rollout
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -184,6 +184,27 @@
 		})
 	})
 
+	// Guards against work on replaced weights (VERSION): engines with the newest weights
+	// stayed in use at instances that know that nothing excuses it.
+	It("gives engines whose weights are barred no new work, also while all are too old (rule 6)", func() {
+		withDirectory(func(g *WithT, d *roster.Directory) {
+			barred := false
+			d.TooOld = func(e *hbs.Endpoint) bool { return e.Weights == "1" }
+			d.Barred = func(*hbs.Endpoint) bool { return barred }
+			d.Put(engine("a", "1"))
+			d.Put(engine("b", "1"))
+			g.Expect(states(d)).To(HaveEach(hbs.StateLive))
+			barred = true
+			d.ApplyTimeouts()
+			g.Expect(states(d)).To(HaveEach(hbs.StateDraining))
+			d.SetReportedWeights("b", "1", "2")
+			g.Expect(states(d)).To(Equal(map[hbs.EndpointID]hbs.EndpointState{"a": hbs.StateDraining, "b": hbs.StateLive}))
+			barred = false
+			d.Put(engine("b", "1"))
+			g.Expect(states(d)).To(HaveEach(hbs.StateLive))
+		})
+	})
+
 	// Guards against work on replaced weights that no log line explains.
 	It("logs when an engine's weights are too old, and whether it stays in use (rule 6)", func() {
 		withDirectory(func(g *WithT, d *roster.Directory) {
--- a/roster/weights.go
+++ b/roster/weights.go
@@ -21,7 +21,7 @@
 	// weightsOverdue engines get no new work by rule 6.
 	weightsOverdue weightsState = "overdue"
 	// weightsOverdueInUse engines get new work although their weights are too old,
-	// since no engine of their model has better ones (rule 6).
+	// since no engine of their model has better ones and they aren't barred (rule 6).
 	weightsOverdueInUse weightsState = "overdue_in_use"
 )
 
@@ -49,7 +49,7 @@
 		best[e.Model] = max(best[e.Model], u)
 	}
 	for id, s := range states {
-		if e := d.records[id]; s == weightsOverdue && d.usability(&e) == best[e.Model] {
+		if e := d.records[id]; s == weightsOverdue && d.usability(&e) == best[e.Model] && !d.barred(&e) {
 			states[id] = weightsOverdueInUse
 		}
 	}
@@ -75,6 +75,8 @@
 	return usability(versionOf(e))
 }
 
+func (d *Directory) barred(e *hbs.Endpoint) bool { return d.Barred != nil && d.Barred(e) }
+
 // versionOf returns the version of an engine's weights, 0 if it is not known.
 func versionOf(e *hbs.Endpoint) int64 {
 	n, err := platform.ParseWeights(e.Weights)
