network: both kinds of transports have one constructor

A Transport had to dial connections of LimitHeaders, which two constructors in two packages saw to, with the same settings. A third one could have left the bound on headers out.

Change: newTransport wraps what a dial function returns; NewTransport and NewSingleUseTransport (attempt.SingleUse before) differ in the dial function and in what they keep. LimitHeaders is gone. Behaviour is the same.

Measured: tests of network, attempt, forward and catalog pass.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -167,7 +167,7 @@
 		q.Body = io.NopCloser(bytes.NewReader(r.Request.Body))
 		q.ContentLength = int64(len(r.Request.Body))
 	}
-	transport := attempt.SingleUse(conn)
+	transport := network.NewSingleUseTransport(conn)
 	transport.ReserveHeader = r.buffers.growHeader
 	return transport.RoundTrip(q)
 }
--- a/network/header.go
+++ b/network/header.go
@@ -42,10 +42,6 @@
 	err error
 }
 
-// LimitHeaders returns conn with a bound on the memory of response headers, for the
-// DialContext of a Transport.
-func LimitHeaders(conn net.Conn) net.Conn { return &headerConn{Conn: conn} }
-
 // Read implements net.Conn.
 func (c *headerConn) Read(p []byte) (int, error) {
 	if err := c.account(); err != nil {
--- a/network/transport.go
+++ b/network/transport.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,10 +17,19 @@
 // ErrSwitchedProtocol is returned for a response that switches to another protocol.
 var ErrSwitchedProtocol = errors.New("response switches protocols")
 
+// errConnUsed is returned for a second dial of a transport for one request.
+var errConnUsed = errors.New("connection was used before")
+
+const (
+	// maxIdleConnections is the number of idle connections that are kept to one address,
+	// idleTimeout how long they are kept.
+	maxIdleConnections = 64
+	idleTimeout        = 30 * time.Second
+)
+
 // Transport is an HTTP transport with which all calls over HTTP/1 are made. None of them
-// asks for another protocol.
+// asks for another protocol. NewTransport and NewSingleUseTransport make one.
 type Transport struct {
-	// Transport must dial connections of LimitHeaders.
 	http.Transport
 	// ReserveHeader is called with about the memory that the header of a response takes,
 	// in bytes, again and again while it is read. An error ends the call; may be nil.
@@ -50,24 +60,50 @@
 	return nil, ErrSwitchedProtocol
 }
 
-// NewTransport returns a transport whose connections are opened by n. It reuses
-// connections, does not request compression and bounds the headers of responses.
-func NewTransport(n hbs.Network) *Transport {
+// dialFunc opens a connection to an address.
+type dialFunc func(ctx context.Context, address string) (net.Conn, error)
+
+// newTransport returns a transport that opens its connections by dial, does not request
+// compression and bounds the headers of responses.
+func newTransport(dial dialFunc) *Transport {
 	return &Transport{Transport: http.Transport{
-		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
-			ap, err := netip.ParseAddrPort(addr)
-			if err != nil {
-				return nil, errors.Wrapf(err, "address %q", addr)
-			}
-			conn, err := n.Dial(ctx, ap)
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			conn, err := dial(ctx, address)
 			if err != nil {
 				return nil, err
 			}
-			return LimitHeaders(conn), nil
+			return &headerConn{Conn: conn}, nil
 		},
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: MaxHeaderBytes,
-		MaxIdleConnsPerHost:    64,
-		IdleConnTimeout:        30 * time.Second,
 	}}
 }
+
+// NewTransport returns a transport whose connections are opened by n and reused. It does
+// not request compression and bounds the headers of responses.
+func NewTransport(n hbs.Network) *Transport {
+	t := newTransport(func(ctx context.Context, address string) (net.Conn, error) {
+		ap, err := netip.ParseAddrPort(address)
+		if err != nil {
+			return nil, errors.Wrapf(err, "address %q", address)
+		}
+		return n.Dial(ctx, ap)
+	})
+	t.MaxIdleConnsPerHost = maxIdleConnections
+	t.IdleConnTimeout = idleTimeout
+	return t
+}
+
+// NewSingleUseTransport returns a transport that uses conn for one request. It cannot
+// open another connection: a second dial fails with errConnUsed.
+func NewSingleUseTransport(conn net.Conn) *Transport {
+	var used atomic.Bool
+	t := newTransport(func(context.Context, string) (net.Conn, error) {
+		if used.Swap(true) {
+			return nil, errConnUsed
+		}
+		return conn, nil
+	})
+	t.DisableKeepAlives = true
+	return t
+}
