converge: the time left for a change is not put off as it passes

Cause: from twice the time of a takeover on, the time that was planned for what is left of a change stayed the time of a takeover, however little was left. As many engines changed at once as end in that time from now, so that the number fell with that of the engines left: some were due before their change, though nothing but the limit kept them from it.

Change: what is kept back for a takeover is at most half of the time left. The plan has at least half of the time of a takeover, also for overdue changes.

--- a/converge/converge.go
+++ b/converge/converge.go
@@ -214,7 +214,9 @@
 }
 
 // timesLeft returns the time left for each change of an outdated engine that has a
-// limit, in ascending order. Overdue changes are to end within a further TakeoverTime.
+// limit, in ascending order. It keeps back the time of a takeover, but at most half of
+// the time left: a change whose end is put off as time passes never ends. Overdue
+// changes, too, are to end within half of TakeoverTime.
 func (c *Controller) timesLeft(r *hbs.Roster) (times []time.Duration) {
 	for i := range r.Endpoints {
 		e := &r.Endpoints[i]
@@ -222,7 +224,7 @@
 			continue
 		}
 		if left, ok := c.TimeLeft(e); ok {
-			times = append(times, max(left, 2*c.TakeoverTime)-c.TakeoverTime)
+			times = append(times, max(left-c.TakeoverTime, left/2, c.TakeoverTime/2))
 		}
 	}
 	slices.Sort(times)
--- a/converge/rollout_test.go
+++ b/converge/rollout_test.go
@@ -384,6 +384,52 @@
 		})
 	})
 
+	// The time that was left for a change stayed the same from twice the time of a takeover
+	// on, so that ever fewer engines changed at once as fewer were left.
+	It("ends in time if the throughput of the source changes all the time", func() {
+		const period = 2 * time.Second
+		for seed := range uint64(3) {
+			rnd := rand.New(rand.NewPCG(seed, 1))
+			load, begun := between(rnd, 300*time.Millisecond, 500*time.Millisecond), time.Time{}
+			r.draining = between(rnd, 100*time.Millisecond, 1500*time.Millisecond)
+			r.loading = func(int) time.Duration {
+				if time.Since(begun)/period%2 == 1 {
+					return 3 * load()
+				}
+				return load()
+			}
+			withRollout(manyEngines, &rollout{draining: r.draining, loading: r.loading}, func(r *rollout) {
+				begun = time.Now()
+				r.publish(2)
+				time.Sleep(3 * time.Second)
+				r.publish(3)
+				time.Sleep(11 * time.Second)
+				r.publish(4)
+				time.Sleep(convergeTime)
+				r.Expect(r.outdated()).To(BeZero())
+			})
+		}
+	})
+
+	// See above.
+	It("has less time left as it goes on, and at least half of the time of a takeover", func() {
+		left := time.Duration(0)
+		c := &Controller{
+			TakeoverTime: takeoverTime, TargetVersion: func(hbs.ModelName) int64 { return 2 },
+			TimeLeft: func(*hbs.Endpoint) (time.Duration, bool) { return left, true },
+		}
+		roster := &hbs.Roster{Endpoints: []hbs.Endpoint{{ID: "e", Kind: hbs.KindEngine, State: hbs.StateLive, Weights: "1"}}}
+		planned := func(d time.Duration) time.Duration {
+			left = d
+			return c.timesLeft(roster)[0]
+		}
+		Expect(planned(3 * takeoverTime)).To(Equal(2 * takeoverTime))
+		Expect(planned(2 * takeoverTime)).To(Equal(takeoverTime))
+		Expect(planned(takeoverTime * 3 / 2)).To(Equal(takeoverTime * 3 / 4))
+		Expect(planned(takeoverTime)).To(Equal(takeoverTime / 2))
+		Expect(planned(-time.Hour)).To(Equal(takeoverTime / 2))
+	})
+
 	never := func() time.Duration { return time.Hour }
 
 	// An order without a response kept the place of an engine that changes for a timeout
