admission: an estimate that refuses all requests is corrected

Cause: a request is refused on placement if the predicted time to decode misses its deadline. Only completed attempts correct that time. One slow response, the first of a queue, set it so high that all later requests of a workspace that is not light were refused, also by a queue with no work, and nothing corrected it: the decay of rule 7 applies to the delay before the first token alone.

Change: no request is refused for the time to decode while no other one of its queue runs at this instance.

--- a/admission/predict.go
+++ b/admission/predict.go
@@ -45,12 +45,17 @@
 // lateRefusal returns the refusal of w if the prediction for the chosen endpoint
 // misses its deadline or its limit for the first event, else nil (rule 7).
 // Requests of light workspaces are never refused here: the predictions are too
-// pessimistic for them while prefixes are still computed for the first time.
+// pessimistic for them while prefixes are still computed for the first time. Nor is one
+// refused for the time to decode while no other one runs: only attempts that end correct
+// that estimate.
 func (q *queue) lateRefusal(w *waiter, p *hbs.Placement) *hbs.Refusal {
 	if w.req.Deadline.IsZero() || q.engineRank(w) < rankHeavy {
 		return nil
 	}
 	delay, decode := seconds(*q.estimates.startDelay(p)), q.estimates.decodeTime(w.req, w.flow.lengthRatio)
+	if q.estimates.running <= 1 { // w alone
+		decode = 0
+	}
 	need := p.FirstToken + delay + decode
 	if need <= time.Until(w.req.Deadline) && q.startsInTime(w.req, p.FirstToken+delay) {
 		return nil
