converge: engines that take long for their responses get orders

Cause: the first read of an engine's report waits 0.5 s since, in each step. An engine, or one behind a slow link (the read takes two round trips), that takes longer failed all its steps and never got an order.

Change: after a failed step the engine gets the time of other calls, 1 s. It goes behind all others by then (C7), so that it delays none of them. The time for sending an order allows for it.

--- a/converge/converge.go
+++ b/converge/converge.go
@@ -309,7 +309,10 @@
 
 func (c *Controller) startStep(ctx context.Context, e hbs.Endpoint, fence uint64) {
 	c.running[e.ID] = true
-	s := &step{Controller: c, engine: e, fence: fence, suspendedBefore: c.suspendedBefore}
+	s := &step{Controller: c, engine: e, fence: fence, suspendedBefore: c.suspendedBefore, answerTimeout: answerTimeout}
+	if c.failures[e.ID].count > 0 {
+		s.answerTimeout = callTimeout
+	}
 	c.wg.Go(func() {
 		o := s.run(ctx)
 		select {
--- a/converge/rollout_test.go
+++ b/converge/rollout_test.go
@@ -49,6 +49,8 @@
 	// silent reports whether an engine that has accepted so many orders gives no
 	// response; it changes no further then.
 	silent func(engine, accepted int) bool
+	// responseTime returns how long an engine takes for a response; nil means no time.
+	responseTime func(engine int) time.Duration
 	// firstOrders has the time at which each engine got its first order.
 	firstOrders map[int]time.Time
 
@@ -229,7 +231,15 @@
 	return e.silent != nil && e.silent(e.index, e.accepted)
 }
 
+// respondLater waits for the response time.
+func (e *orderedEngine) respondLater(ctx context.Context) {
+	if e.responseTime != nil {
+		_ = delay.For(ctx, e.responseTime(e.index))
+	}
+}
+
 func (e *orderedEngine) serveReport(w http.ResponseWriter, req *http.Request) {
+	e.respondLater(req.Context())
 	if e.isSilent() {
 		<-req.Context().Done()
 		return
@@ -264,7 +274,9 @@
 		<-req.Context().Done()
 		return
 	}
-	w.WriteHeader(e.apply(o.Version, o.Expected))
+	status := e.apply(o.Version, o.Expected)
+	e.respondLater(req.Context())
+	w.WriteHeader(status)
 }
 
 func (e *orderedEngine) noteOrder() {
@@ -454,6 +466,23 @@
 		})
 	})
 
+	// An engine that takes longer for its first response in a step than the step waits got
+	// no order at all.
+	It("changes engines that take long for their responses", func() {
+		slow := func(engine int) bool { return engine%3 == 0 }
+		r.responseTime = func(engine int) time.Duration {
+			if slow(engine) {
+				return answerTimeout * 6 / 5
+			}
+			return 0
+		}
+		withRollout(manyEngines, r, func(r *rollout) {
+			r.publish(2)
+			time.Sleep(convergeTime)
+			r.Expect(r.outdated()).To(BeZero())
+		})
+	})
+
 	// Engines that fell silent while they changed kept their places for 12 s.
 	It("ends in time for the others if a third of the engines falls silent while it changes", func() {
 		silent := func(engine int) bool { return engine%3 == 0 }
--- a/converge/step.go
+++ b/converge/step.go
@@ -22,7 +22,9 @@
 	drainPollInterval = 250 * time.Millisecond
 	loadPollInterval  = time.Second
 	// answerTimeout bounds the first answer of an engine in a step and its answer to the
-	// order. It is short, since the step holds the place of an engine that changes.
+	// order. It is short, since the step holds the place of an engine that changes. After
+	// a failed step the engine gets callTimeout: it may answer slowly, and goes behind all
+	// others (C7).
 	answerTimeout = 500 * time.Millisecond
 	// reportDelay is how long a report may take to reflect an order.
 	reportDelay = time.Second
@@ -38,6 +40,8 @@
 	engine          hbs.Endpoint
 	fence           uint64
 	suspendedBefore time.Duration
+	// answerTimeout is callTimeout or the constant.
+	answerTimeout time.Duration
 	// ordered is when the step sent its order, zero before. accepted is set once the
 	// engine has accepted it.
 	ordered  time.Time
@@ -82,7 +86,7 @@
 // sendOrder reads the engine's report and sends one order, unless one is in
 // progress (C3). It returns the version that the engine should load.
 func (s *step) sendOrder(ctx context.Context) (version int64, err error) {
-	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, 3*callTimeout)
 	defer cancel()
 	version = s.TargetVersion(s.engine.Model)
 	report, err := s.firstReport(ctx)
@@ -176,7 +180,7 @@
 
 // firstReport reads the report of an engine that is not known to change.
 func (s *step) firstReport(ctx context.Context) (r platform.EngineReport, err error) {
-	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+	ctx, cancel := context.WithTimeout(ctx, s.answerTimeout)
 	defer cancel()
 	return s.report(ctx)
 }
@@ -213,7 +217,7 @@
 		}
 		return use.Write(write)
 	}
-	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+	ctx, cancel := context.WithTimeout(ctx, s.answerTimeout)
 	defer cancel()
 	c := s.call(http.MethodPost, platform.OrderPath, body, guard)
 	status, _, err := c.Do(ctx)
