admission: long work waits only for endpoints of its model and service

Cause: long work that finds its places at the endpoints taken waits for one.

Change: only endpoints of the request's model and service count.

Measured: the spec failed with deadline_unreachable, after the whole wait, in place of no_endpoint at once. The stand-in endpoints of the tests have the model that the requests ask for; where a test sets byModel they run no other one.

--- a/admission/accounting_test.go
+++ b/admission/accounting_test.go
@@ -59,6 +59,27 @@
 		})
 	})
 
+	// See above: endpoints of other models counted too.
+	It("refuses long work at once if only endpoints of another model have their places taken", func() {
+		synctest.Test(suiteT, func(t *testing.T) {
+			g := NewWithT(t)
+			s := newFakePlacer(2, 4)
+			s.endpoints[1].Model, s.byModel = "n", true
+			policy := knob.NewFixed(admission.Knobs).With(admission.KnobLongTokens, 10).With(admission.KnobLongSlots, 0.25)
+			c := &admission.Controller{Placer: s, Directory: s, Policy: policy, Metrics: metrics.NewRegistry()}
+			long := func(model hbs.ModelName) *hbs.Request {
+				return &hbs.Request{ID: "r", Model: model, ExpectedTokens: 1000, Deadline: time.Now().Add(time.Hour)}
+			}
+			_, err := c.Place(context.Background(), long("n"))
+			g.Expect(err).NotTo(HaveOccurred())
+			s.endpoints[0].State = hbs.StateDraining
+			asked := time.Now()
+			_, err = c.Place(context.Background(), long("m"))
+			g.Expect(hbs.AsRefusal(err).Reason).To(Equal(hbs.ReasonNoEndpoint))
+			g.Expect(time.Since(asked)).To(BeZero())
+		})
+	})
+
 	It("counts the waiting requests of all queues", func() {
 		synctest.Test(suiteT, func(t *testing.T) {
 			g := NewWithT(t)
--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -35,6 +35,8 @@
 // fakePlacer is a Placer and Directory of endpoints with a fixed number of slots.
 type fakePlacer struct {
 	endpoints []hbs.Endpoint
+	// byModel is set if endpoints run only requests for their model.
+	byModel bool
 
 	// first is the predicted time to first token. wait is the part of it that is
 	// spent in the endpoint's queue.
@@ -47,7 +49,7 @@
 func newFakePlacer(endpoints, each int) *fakePlacer {
 	s := &fakePlacer{reserved: map[hbs.EndpointID]int{}, first: tokenTime}
 	for i := range endpoints {
-		s.endpoints = append(s.endpoints, hbs.Endpoint{ID: hbs.EndpointID(rune('a' + i)), Slots: each})
+		s.endpoints = append(s.endpoints, hbs.Endpoint{ID: hbs.EndpointID(rune('a' + i)), Model: "m", Slots: each})
 	}
 	return s
 }
@@ -56,12 +58,12 @@
 
 func (s *fakePlacer) Changed() <-chan struct{} { return nil }
 
-func (s *fakePlacer) Place(_ *hbs.Request, avoid []hbs.EndpointID) (hbs.Placement, error) {
+func (s *fakePlacer) Place(req *hbs.Request, avoid []hbs.EndpointID) (hbs.Placement, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	err := hbs.ErrNoEndpoint
 	for _, e := range s.endpoints {
-		if e.State == hbs.StateDraining || slices.Contains(avoid, e.ID) {
+		if e.State == hbs.StateDraining || s.byModel && e.Model != req.Model || slices.Contains(avoid, e.ID) {
 			continue
 		}
 		if err = hbs.ErrFull; s.reserved[e.ID] < e.Slots {
--- a/admission/long_counts.go
+++ b/admission/long_counts.go
@@ -59,8 +59,9 @@
 	}
 }
 
-// endpointsAtLimit returns the endpoints that accept no more long work for now. Those that
-// get no new work at all are not among them: waiting for a place there doesn't help.
+// endpointsAtLimit returns the endpoints that accept no more long work like req for now.
+// Those that get no new work at all, or none of its model or service, are not among them:
+// waiting for a place there doesn't help.
 func (l *longCounts) endpointsAtLimit(d hbs.Directory, p hbs.Policy, req *hbs.Request) []hbs.EndpointID {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -73,7 +74,7 @@
 	endpoints := d.Roster().Endpoints
 	for i := range endpoints {
 		e := &endpoints[i]
-		if e.State == hbs.StateDraining || e.State == hbs.StateLeaving {
+		if e.State == hbs.StateDraining || e.State == hbs.StateLeaving || e.Model != req.Model || e.Service != req.Service {
 			continue
 		}
 		limit := max(int(share*float64(e.Slots)), 1)
