gateway: one failed call doesn't end the contact with the store

Cause: a call to the store that failed lifted the bar on engines whose weights are due for the time that contact must last, 3 s, also when the next call succeeded 0.1 s later. Found by a review.

Change: contact ends when nothing has confirmed the watch for contactGap, as for an outage. The handlers' method for failed calls is gone.

An outage still starts the time anew.

Conclusion: what is served on the newest of due weights for a few seconds after the store was lost is refused now; such work is worth nothing by then.

--- a/gateway/contact.go
+++ b/gateway/contact.go
@@ -13,7 +13,8 @@
 //
 // A restart and a suspension of the machine say nothing of the store: limits on time go
 // on meanwhile, and only don't bind the instance until it has been in contact for
-// StableTime. After an outage they start anew.
+// StableTime. After an outage they start anew. A failed call alone ends no contact: the
+// store may cut off a watch that waits.
 type contact struct {
 	// StableTime is how long contact must have lasted before it counts.
 	StableTime time.Duration
@@ -22,11 +23,9 @@
 
 	mu sync.Mutex
 	// confirmed is when the watch was last confirmed to be up to date, since when that
-	// began. Both are zero before the first time.
+	// began. Both are zero before the first time; confirmed is zero after an outage, too.
 	confirmed moment
 	since     time.Time
-	// interrupted is set by a failed call, until the next confirmation.
-	interrupted bool
 	// regained is the end of the last outage, zero if there was none.
 	regained moment
 }
@@ -39,21 +38,14 @@
 	if !c.lasts() {
 		c.since = now.at
 	}
-	c.confirmed, c.interrupted = now, false
-}
-
-// interrupt records that a call failed.
-func (c *contact) interrupt() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.interrupted = true
+	c.confirmed = now
 }
 
 // regain records the end of an outage.
 func (c *contact) regain() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.regained, c.interrupted = moment{time.Now(), c.Suspended()}, true
+	c.regained, c.confirmed = moment{time.Now(), c.Suspended()}, moment{}
 }
 
 // stable reports whether the watch has been in contact for StableTime. regained is when the
@@ -67,6 +59,6 @@
 // lasts reports whether nothing has ended the contact since the last confirmation. The
 // caller holds mu.
 func (c *contact) lasts() bool {
-	return c.confirmed != moment{} && !c.interrupted && time.Since(c.confirmed.at) <= contactGap &&
+	return c.confirmed != moment{} && time.Since(c.confirmed.at) <= contactGap &&
 		c.Suspended()-c.confirmed.suspended <= suspendTolerance
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -59,8 +59,10 @@
 	stableTime = 3 * time.Second
 	// outageTime is the length of an outage of the store during which keys stay valid.
 	outageTime = 4500 * time.Millisecond
-	// watchTime is the longest time until a watch shows that the store is gone.
+	// watchTime is the longest time until a watch shows that the store is gone, lossTime
+	// that until an instance takes the store for out of reach.
 	watchTime = 2100 * time.Millisecond
+	lossTime  = 3600 * time.Millisecond
 	// handOverTime is the longest time from the stop signal for a lease holder to
 	// the first order of its successor.
 	handOverTime = 6 * time.Second
--- a/gateway/objecthandlers.go
+++ b/gateway/objecthandlers.go
@@ -42,12 +42,6 @@
 	}
 }
 
-func (h *upsertHandler) interrupted() {
-	if h.contact != nil {
-		h.contact.interrupt()
-	}
-}
-
 func (h *upsertHandler) reconnected() {
 	if h.contact != nil {
 		h.contact.regain()
@@ -174,8 +168,6 @@
 
 func (h *endpointHandler) synced(time.Time) { h.versions.EngineWatch.confirm() }
 
-func (h *endpointHandler) interrupted() { h.versions.EngineWatch.interrupt() }
-
 func (h *endpointHandler) reconnected() {
 	h.directory.PlatformRecovered()
 	h.versions.EngineWatch.regain()
@@ -235,6 +227,4 @@
 
 func (h *crashHandler) synced(time.Time) { h.sharer.Read() }
 
-func (h *crashHandler) interrupted() {}
-
 func (h *crashHandler) reconnected() {}
--- a/gateway/watcher.go
+++ b/gateway/watcher.go
@@ -22,9 +22,6 @@
 	apply(ev hbs.WatchEvent)
 	// synced reports that everything up to asOf was delivered.
 	synced(asOf time.Time)
-	// interrupted reports that a call failed. What changed since the last call of synced
-	// is not known.
-	interrupted()
 	// reconnected reports that the store is reachable again after an outage, or was
 	// restored from a copy. What it lacks may be written again soon.
 	reconnected()
@@ -157,12 +154,8 @@
 	w.lastResponse, w.unreachable = time.Now(), false
 }
 
-// recordFailure reports a failed call, and logs the start of an outage if the last
-// response is too old.
+// recordFailure logs the start of an outage if the last response is too old.
 func (w *watcher) recordFailure(err error) {
-	if !errors.Is(err, hbs.ErrCompacted) {
-		w.handler.interrupted()
-	}
 	sinceResponse := time.Since(w.lastResponse)
 	if w.unreachable || sinceResponse < w.wait+unreachableMargin {
 		return
