gateway: an outage that no failed call shows is logged from its beginning

Cause: a response after a long silence of the store was logged as the end of an outage, also if no call had failed late enough to log its beginning. Operators then read "store regained" without "store lost".

Change: the response logs the beginning as well.

--- a/gateway/watcher.go
+++ b/gateway/watcher.go
@@ -52,7 +52,7 @@
 	wait time.Duration
 
 	// lastResponse is when the store last responded. unreachable is set when a
-	// call fails at least wait and unreachableMargin later.
+	// call fails at least maxSilence later.
 	lastResponse time.Time
 	unreachable  bool
 	// listed is the revision of the last listing; 0 before the first.
@@ -145,10 +145,13 @@
 }
 
 // recordResponse records a response of the store, and logs and reports the end of
-// an outage.
+// an outage. One that no failed call has shown is logged as a whole.
 func (w *watcher) recordResponse() {
-	if w.unreachable || time.Since(w.lastResponse) > w.wait+unreachableMargin {
-		w.log.Info("store regained", zap.String("kind", string(w.kind)), zap.Duration("away", time.Since(w.lastResponse)))
+	if !w.unreachable && w.silent() > w.maxSilence() {
+		w.recordOutage(nil)
+	}
+	if w.unreachable {
+		w.log.Info("store regained", zap.String("kind", string(w.kind)), zap.Duration("away", w.silent()))
 		w.handler.reconnected()
 	}
 	w.lastResponse, w.unreachable = time.Now(), false
@@ -156,10 +159,17 @@
 
 // recordFailure logs the start of an outage if the last response is too old.
 func (w *watcher) recordFailure(err error) {
-	sinceResponse := time.Since(w.lastResponse)
-	if w.unreachable || sinceResponse < w.wait+unreachableMargin {
-		return
+	if !w.unreachable && w.silent() >= w.maxSilence() {
+		w.recordOutage(err)
 	}
+}
+
+func (w *watcher) recordOutage(err error) {
 	w.unreachable = true
-	w.log.Warn("store lost", zap.String("kind", string(w.kind)), zap.Duration("silent", sinceResponse), zap.Error(err))
+	w.log.Warn("store lost", zap.String("kind", string(w.kind)), zap.Duration("silent", w.silent()), zap.Error(err))
 }
+
+// silent returns the time since the last response, maxSilence how long that may be
+// without an outage.
+func (w *watcher) silent() time.Duration     { return time.Since(w.lastResponse) }
+func (w *watcher) maxSilence() time.Duration { return w.wait + unreachableMargin }
--- a/gateway/watcher_test.go
+++ b/gateway/watcher_test.go
@@ -8,6 +8,7 @@
 
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	hbs "github.com/hornbeamstage/hornbeamstage"
 	"github.com/hornbeamstage/hornbeamstage/delay"
@@ -75,3 +76,22 @@
 		g.Expect(seen.count).To(Equal(1+store.watches), "the listing, and the first response of each watch")
 	})
 }
+
+// Guards against an outage of which the log has the end but not the beginning: no call
+// failed late enough to show it.
+func TestAnOutageThatNoFailedCallShowsIsLoggedWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		core, logs := observer.New(zap.InfoLevel)
+		w := &watcher{kind: "k", handler: &upsertHandler{}, log: zap.New(core), wait: time.Second, lastResponse: time.Now()}
+		time.Sleep(w.maxSilence() / 2)
+		w.recordFailure(context.DeadlineExceeded)
+		g.Expect(logs.Len()).To(BeZero())
+		time.Sleep(w.maxSilence())
+		w.recordResponse()
+		g.Expect(logs.FilterMessage("store lost").Len()).To(Equal(1))
+		g.Expect(logs.FilterMessage("store regained").Len()).To(Equal(1))
+		w.recordResponse()
+		g.Expect(logs.Len()).To(Equal(2))
+	})
+}
