converge: loads are judged in groups of at least three

Cause: with a limit of 2 or 3, groups of 5 loads are nearly half of the rollout to 12 engines, so that a limit above what the source bears stays for long.

Change: the least group has 3 loads; their median still disregards one.

--- a/converge/limiter.go
+++ b/converge/limiter.go
@@ -56,7 +56,7 @@
 	minLoads = 2
 	// minGroup is the least number of loads in a group, enough for its median to
 	// disregard single ones.
-	minGroup = 5
+	minGroup = 3
 	// drainedDelay is about the longest time after which a report shows that an engine
 	// has drained: reports are about as old as the interval at which they are read.
 	drainedDelay = 2 * drainPollInterval
