dispatch, quarantine: lines about broken attempts tell requests that come again

Operators and callers saw engines of a plain service crash one after the other; no line told that it was one request, come again with other ids at other machines: paths and bodies are not logged, and such requests have no parts. A request now has a fingerprint, a hash of model, host, method, path and body behind the workspace's name, which stands in 'attempt ended' unless it is complete and in 'engine crashed under a request'. Nothing is decided by it yet.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -251,10 +251,12 @@
 		// the one before it identifies the common prefix.
 		fields = append(fields, zap.String("prefix", strconv.FormatUint(uint64(s.req.Levels[n-2].Key), 36)))
 	}
-	if res.End != hbs.EndComplete && len(s.req.Parts) > 0 {
-		// The parts that several engines had in common when they ended tell what
-		// broke them.
-		fields = append(fields, zap.Strings("parts", partNames(s.req.Parts)))
+	if res.End != hbs.EndComplete {
+		// What several engines had in common when they ended tells what broke them.
+		fields = append(fields, zap.String("fingerprint", string(s.req.Fingerprint)))
+		if len(s.req.Parts) > 0 {
+			fields = append(fields, zap.Strings("parts", partNames(s.req.Parts)))
+		}
 	}
 	if p.Limit != nil {
 		fields = append(fields, zap.Float64("limit", *p.Limit))
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -153,6 +153,7 @@
 		q.Levels = levels(q, p.Prompt)
 		q.Parts = sharedParts(p.Prompt)
 	}
+	q.Fingerprint = fingerprint(q)
 }
 
 // deadline returns when the request ends: at the caller's deadline or the
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -227,7 +227,7 @@
 	t.count(meterCrashes)
 	t.mu.Unlock()
 	t.log().Info("engine crashed under a request", zap.String("request", string(req.ID)), zap.String("endpoint", string(e.ID)),
-		zap.String("incarnation", string(e.Incarnation)), zap.String("model", string(req.Model)), zap.Strings("parts", names),
+		zap.String("incarnation", string(e.Incarnation)), zap.String("model", string(req.Model)), zap.Strings("parts", names), zap.String("fingerprint", string(req.Fingerprint)),
 		zap.Bool("again", again))
 	t.changed()
 	return again
--- a/request.go
+++ b/request.go
@@ -44,6 +44,10 @@
 // prompts for one model, whatever the workspace.
 type PartID string
 
+// Fingerprint identifies what a caller asks for: requests with the same one have the same
+// workspace, model, host, method, path and body, whatever their IDs and deadlines.
+type Fingerprint string
+
 // Request is a decoded request of a caller. It does not change after decoding;
 // admission sets Favoured on a copy.
 type Request struct {
@@ -74,6 +78,8 @@
 	// Parts are the parts of the prompt that other requests may share: all but the
 	// last, in order. Empty where callers don't name parts.
 	Parts []PartID
+	// Fingerprint is empty where nothing is told of requests that come again.
+	Fingerprint Fingerprint
 	// PromptTokens is the estimated length of the prompt. ExpectedTokens is the
 	// expected length of the response, at least 1 for requests to models.
 	PromptTokens, ExpectedTokens int
