quarantine, dispatch: requests that crash engines are kept from them

Now crashes of all engines are noticed and count against the fingerprint of the whole request too, in the same reports, in entries that older builds ignore. A request with two crashes is held: the instances try it in turns. A third crash in such a trial quarantines it at all instances, without answers of others. An answer frees it. A request that met one crash is sent again at once, as before. A loss of power makes no request suspect, since its crashes come before any trial. A part waits while one request was at all of its crashes, so that the parts that a deadly prompt shares stay usable.

The prompts of gateway/crashes_test.go have bodies of their own now, as two different prompts can't have the same body, and its check for quarantines looks at requests too.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -59,7 +59,7 @@
 // watchCrash returns a watch of an attempt that has not started, or nil if there is
 // nothing to watch for.
 func (s *requestState) watchCrash(c *attempt.Call) *crashWatch {
-	if s.Crashes == nil || c.Placement.Endpoint.Kind != hbs.KindEngine {
+	if s.Crashes == nil {
 		return nil
 	}
 	w := &crashWatch{requestState: s, call: c}
--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -124,6 +124,26 @@
 		})
 	})
 
+	// Guards against endpoints of plain services that crash one after the other without
+	// notice.
+	It("is taken for crashed likewise if it is the endpoint of a plain service (rule 7)", func() {
+		runInEnv(func(env *testEnv) {
+			var n atomic.Int64
+			for range 3 {
+				env.addBreakingEngine(true, &n)
+			}
+			for i := range env.placer.endpoints {
+				env.placer.endpoints[i].Kind, env.placer.endpoints[i].Model = hbs.KindService, ""
+			}
+			w := &crashWatch{}
+			env.d.Crashes = w
+			_, err := env.d.Serve(env.ctx, &hbs.Request{ID: "plain", Class: hbs.ClassRepeatable, Service: "s", Method: http.MethodGet, Path: "/"}, nil, &sink{})
+			env.Expect(err).To(HaveOccurred())
+			env.Expect(n.Load()).To(BeEquivalentTo(2))
+			env.Expect(w.crashed).To(Equal(2))
+		})
+	})
+
 	// Guards against repeats of a request that is known to be dangerous.
 	It("ends the request if its parts have crashed others (rule 7)", func() {
 		runInEnv(func(env *testEnv) {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -20,10 +20,10 @@
 //     passes.
 //  7. A request that Crashes refuses is not sent to an engine: not on arrival, and
 //     not right before an attempt sends it, since it may have waited meanwhile. When
-//     the connection to an engine breaks before an attempt has written two events,
-//     or a response with neither a length nor chunks ends with it, one dial finds out
-//     whether the engine crashed: then nothing listens there, and its record tells of
-//     no planned end. A request under which maxCrashes engines crashed is not sent to
+//     the connection to an engine, or to an endpoint of a plain service, breaks before
+//     an attempt has written two events, or a response with neither a length nor chunks
+//     ends with it, one dial finds out whether the engine crashed: then nothing listens
+//     there, and its record tells of no planned end. A request under which maxCrashes engines crashed is not sent to
 //     another, and one of which Crashes says so already after the first.
 package dispatch
 
--- a/gateway/assemble.go
+++ b/gateway/assemble.go
@@ -140,7 +140,9 @@
 		Seed: g.Seed, Log: g.Log.Named("placement"), Scope: placement.ScopeRegion, EqualWeights: true, GrowDemand: growDemand,
 		Others: g.presence.Others, TransferRate: g.routes.transferRate, StoreReported: true, HasStore: func() bool { return g.routes.kvStore() != nil },
 	}
-	tracker := &quarantine.Tracker{Self: self.ID, Policy: g.policy, Metrics: g.Metrics, Log: g.Log.Named("quarantine")}
+	tracker := &quarantine.Tracker{
+		Self: self.ID, Policy: g.policy, Metrics: g.Metrics, Log: g.Log.Named("quarantine"), Others: g.presence.Others,
+	}
 	g.crashes = quarantine.NewSharer(tracker, g.store, g.Log.Named("quarantine"))
 	sender := &forward.Sender{
 		Network: g.Network, Policy: g.policy, Metrics: g.Metrics,
--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -36,6 +36,7 @@
 	c := streamCall(i)
 	c.id = fmt.Sprintf("%s-%d-%d", second, i, n)
 	c.header["X-Prefix-Hash"] = fmt.Sprintf("a1:200,%s:50,own%s:50", second, c.id)
+	c.body = "prompt " + c.id
 	return c
 }
 
@@ -135,12 +136,14 @@
 	f.fail(f.engines, pool.Faults{DeadlyPart: deadlyPart, DownTime: down})
 }
 
-// quarantines returns the parts that were quarantined at any instance.
-func (f *fleet) quarantines() (parts []string) {
-	for _, l := range f.logs.FilterMessage("part quarantined").All() {
-		parts = append(parts, l.ContextMap()["part"].(string))
+// quarantines returns the parts and requests that were quarantined at any instance.
+func (f *fleet) quarantines() (names []string) {
+	for message, field := range map[string]string{"part quarantined": "part", "request quarantined": "fingerprint"} {
+		for _, l := range f.logs.FilterMessage(message).All() {
+			names = append(names, l.ContextMap()[field].(string))
+		}
 	}
-	return parts
+	return names
 }
 
 var _ = Describe("a part of prompts that crashes engines", func() {
--- a/quarantine/judge.go
+++ b/quarantine/judge.go
@@ -16,10 +16,26 @@
 	return int(t.Policy.Number(KnobCrashes, hbs.Scope{Model: model}))
 }
 
-// suspect makes a part suspect, or no longer, by its crashes (rule 4).
+// due reports whether the crashes that count against a part make it suspect (rules 4 and
+// 12).
+func (t *Tracker) due(k partKey, p *part) bool {
+	enough := t.enough(k.model)
+	switch {
+	case len(p.crashes) < enough:
+		return false
+	case k.whole():
+		return p.crashSpan() >= trialPause
+	}
+	return t.distinctCrashes(p) >= enough
+}
+
+// suspect makes a part suspect, or no longer, by its crashes.
 func (t *Tracker) suspect(k partKey, p *part, now time.Time) {
-	if !p.until.IsZero() || len(p.crashes) < t.enough(k.model) || t.distinctCrashes(p) < t.enough(k.model) {
-		p.suspectSince, p.trial = time.Time{}, ""
+	if !p.until.IsZero() || !t.due(k, p) {
+		p.suspectSince = time.Time{}
+		if !k.whole() {
+			p.trial = ""
+		}
 		delete(t.suspects, k)
 		return
 	}
@@ -67,7 +83,11 @@
 // release ends a quarantine. Crashes count anew.
 func (t *Tracker) release(k partKey, p *part, now time.Time, why string) {
 	t.count(meterReleased)
-	t.log().Info("part released", zap.String("model", string(k.model)), zap.String("part", string(k.id)),
+	message := "part released"
+	if k.whole() {
+		message = "request released"
+	}
+	t.log().Info(message, zap.String("model", string(k.model)), k.field(),
 		zap.Duration("quarantined_for", now.Sub(p.from)), zap.String("why", why))
 	p.until, p.own = time.Time{}, false
 	p.forget(now)
@@ -107,29 +127,36 @@
 func (t *Tracker) mostBlamed(now time.Time) (most partKey, blamed *part) {
 	for k, p := range t.suspects {
 		p.expire(now)
-		n, enough := t.distinctCrashes(p), t.enough(k.model)
-		answered, share := t.others(k, p)
 		switch {
-		case n < enough:
+		case !t.due(k, p):
 			t.suspect(k, p, now)
 		case now.Sub(p.suspectSince) < settleTime, now.Sub(p.lastCrash) < settleTime:
-		case answered < n, math.Pow(1-share, float64(n)) > maxChance, t.allExplained(k, p), t.outweighed(k, p):
-		case blamed == nil || p.compare(blamed) > 0 || p.compare(blamed) == 0 && k.id < most.id:
+		case !k.whole() && (t.byChance(k, p) || t.oneRequest(k, p)), t.allExplained(k, p), t.outweighed(k, p):
+		case blamed == nil || p.compare(blamed) > 0 || p.compare(blamed) == 0 && k.String() < most.String():
 			most, blamed = k, p
 		}
 	}
 	return most, blamed
 }
 
+// byChance reports whether a part may have met its crashes by chance, or too little is
+// known to tell (rule 4).
+func (t *Tracker) byChance(k partKey, p *part) bool {
+	n := t.distinctCrashes(p)
+	answered, share := t.others(k, p)
+	return answered < n || math.Pow(1-share, float64(n)) > maxChance
+}
+
 // compare returns a positive number if p is to be quarantined before q.
 func (p *part) compare(q *part) int {
 	return cmp.Or(cmp.Compare(len(p.crashes), len(q.crashes)), cmp.Compare(p.depth, q.depth))
 }
 
-// allExplained reports whether quarantined parts explain all crashes of a part.
+// allExplained reports whether what is quarantined for the model explains all crashes of
+// a part.
 func (t *Tracker) allExplained(k partKey, p *part) bool {
 	for id := range p.crashes {
-		if !t.explained(k.model, id) {
+		if !t.explained(id, k.sameModel) {
 			return false
 		}
 	}
@@ -140,7 +167,17 @@
 // part's crashes and at more.
 func (t *Tracker) outweighed(k partKey, p *part) bool {
 	for other, q := range t.parts {
-		if other.model == k.model && q.until.IsZero() && len(q.crashes) > len(p.crashes) && covers(q, p) {
+		if other.sameKind(k) && q.until.IsZero() && len(q.crashes) > len(p.crashes) && covers(q, p) {
+			return true
+		}
+	}
+	return false
+}
+
+// oneRequest reports whether a single request, come again, was at all of a part's crashes.
+func (t *Tracker) oneRequest(k partKey, p *part) bool {
+	for other, q := range t.parts {
+		if other.whole() && other.sameModel(k) && q.until.IsZero() && covers(q, p) {
 			return true
 		}
 	}
@@ -168,7 +205,11 @@
 	slices.Sort(engines)
 	p.offences++
 	answered, share := t.others(k, p)
-	t.log().Warn("part quarantined", zap.String("model", string(k.model)), zap.String("part", string(k.id)),
+	message := "part quarantined"
+	if k.whole() {
+		message = "request quarantined"
+	}
+	t.log().Warn(message, zap.String("model", string(k.model)), k.field(),
 		zap.Int("crashes", len(engines)), zap.Int("distinct", t.distinctCrashes(p)), zap.Int("others_answered", answered), zap.Float64("share_answered", share),
 		zap.Strings("engines", engines), zap.Duration("first_crash", now.Sub(p.firstCrash(now))),
 		zap.Duration("for", d), zap.Int("offence", p.offences), zap.String("told_by", from))
@@ -181,10 +222,10 @@
 	t.explainAway(k, p, now)
 }
 
-// explained reports whether a quarantined part explains a crash.
-func (t *Tracker) explained(model hbs.ModelName, id crashID) bool {
+// explained reports whether something quarantined, of those that count, explains a crash.
+func (t *Tracker) explained(id crashID, counts func(partKey) bool) bool {
 	for _, k := range t.blamed {
-		if p := t.parts[k]; k.model == model && p != nil && !p.until.IsZero() {
+		if p := t.parts[k]; counts(k) && p != nil && !p.until.IsZero() {
 			if _, ok := p.crashes[id]; ok {
 				return true
 			}
@@ -197,7 +238,7 @@
 // were at only some of them (rule 5).
 func (t *Tracker) explainAway(by partKey, explained *part, now time.Time) {
 	for k, p := range t.parts {
-		if k.model != by.model || p == explained || !p.until.IsZero() {
+		if !k.sameKind(by) || p == explained || !p.until.IsZero() {
 			continue
 		}
 		var shared []crashID
--- a/quarantine/part.go
+++ b/quarantine/part.go
@@ -7,10 +7,12 @@
 	hbs "github.com/hornbeamstage/hornbeamstage"
 )
 
-// partKey identifies a part.
+// partKey identifies a part, or a whole request, which counts as a part behind the last
+// one. Either id or request is set.
 type partKey struct {
-	model hbs.ModelName
-	id    hbs.PartID
+	model   hbs.ModelName
+	id      hbs.PartID
+	request hbs.Fingerprint
 }
 
 // crashID identifies the crash of one incarnation of an engine. again counts the
@@ -48,7 +50,8 @@
 	lastCrash, lastUnder time.Time
 	// suspectSince is when the part became suspect; zero if it is not.
 	suspectSince time.Time
-	// trial is the request that tries the part, since trialStart; empty for none.
+	// trial is the request that tries the part, since trialStart; empty for none. For a
+	// whole request it is the last trial, also when that has ended.
 	trial      hbs.RequestID
 	trialStart time.Time
 	// told is set once a crash or quarantine was told to or by other instances, who
@@ -209,7 +212,7 @@
 	if c.at.After(p.lastUnder) {
 		p.lastUnder = c.at
 	}
-	if p.until.IsZero() && t.explained(k.model, id) {
+	if p.until.IsZero() && t.explained(id, k.sameKind) {
 		return
 	}
 	p.expire(now)
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -1,8 +1,9 @@
-// Package quarantine finds the parts of prompts that crash engines, from what
-// attempts at engines met with, and keeps requests with such a part from engines.
+// Package quarantine finds the parts of prompts and the requests that crash engines, from
+// what attempts at engines met with, and keeps them from engines.
 //
-// A part is identified by the model and the part's ID, whatever the workspace. The
-// package knows nothing of networks: it is told of crashes and of answers.
+// A part is identified by the model and the part's ID, whatever the workspace, and a
+// request that comes again by its fingerprint. Endpoints of plain services are engines
+// here too. The package knows nothing of networks: it is told of crashes and of answers.
 //
 // Rules:
 //
@@ -48,6 +49,22 @@
 //  10. Everything told is bounded, in bytes, entries and time, and an entry that can't
 //     be used is ignored alone. Times are told as ages, since clocks differ; only the
 //     end of a quarantine is a time of day, and it is bounded by maxDuration.
+//  11. A request that comes again counts as a part of itself behind the last one, by its
+//     fingerprint: rules 1, 3, 5 and 7 to 10 hold for it. Parts and requests explain
+//     crashes only among their own kind, but what is quarantined of either kind may
+//     explain all crashes of the other. A request with heldCrashes crashes is held: an
+//     instance sends it only as a trial, not within trialPause of its last trial here
+//     nor of the last crash. After that the instances take turns of turnTime each, for
+//     turnRounds rounds. Otherwise all of them would send it at once when its engines
+//     are back. One under which an engine crashed is sent again at once if that was the
+//     first crash.
+//  12. A held request with quarantine.crashes crashes is suspect if the last was
+//     trialPause or more after the first: then one was a trial. So a loss of power and
+//     what happened to run beside it make no request suspect, however many engines
+//     crashed and at whichever times others told of it. It is blamed without answers of
+//     others, since there are none while it keeps the engines of a small service
+//     down, and since a false verdict only costs a caller this request. A part waits
+//     while one request was at all of its crashes.
 package quarantine
 
 import (
@@ -103,6 +120,9 @@
 	Policy  hbs.Policy
 	Metrics metrics.Registry
 	Log     *zap.Logger
+	// Others returns the other instances of the fleet, and whether they are known; may be
+	// nil.
+	Others func() (ids []hbs.InstanceID, ok bool)
 	// Changed, which may be nil, is called without locks when there is something new
 	// to tell others.
 	Changed func()
@@ -139,9 +159,6 @@
 
 // decide judges suspects and then decides on a request.
 func (t *Tracker) decide(req *hbs.Request, decision func(*hbs.Request, time.Time) *hbs.Refusal) *hbs.Refusal {
-	if len(req.Parts) == 0 {
-		return nil
-	}
 	now := time.Now()
 	t.mu.Lock()
 	if len(t.parts) == 0 {
@@ -157,35 +174,47 @@
 	return r
 }
 
-// check refuses a request with a quarantined part.
+// check refuses a request that is quarantined or held, or has a quarantined part.
 func (t *Tracker) check(req *hbs.Request, now time.Time) *hbs.Refusal {
-	for _, id := range req.Parts {
-		k := partKey{req.Model, id}
+	for k := range keys(req) {
 		p := t.parts[k]
-		if p == nil || !t.quarantined(k, p, now) {
+		if p == nil {
 			continue
 		}
-		t.count(meterRefused)
-		return hbs.NotRun(hbs.ReasonQuarantined, "part "+string(id), min(p.until.Sub(now), maxRetryAfter))
+		if t.quarantined(k, p, now) {
+			t.count(meterRefused)
+			return hbs.NotRun(k.reason(), k.String(), min(p.until.Sub(now), maxRetryAfter))
+		}
+		if !k.whole() {
+			continue
+		}
+		if wait := t.held(k, p, req.ID, now); wait > 0 {
+			t.count(meterTrialsRefused)
+			return hbs.NotRun(k.reason(), k.String()+" is suspect", wait)
+		}
 	}
 	return nil
 }
 
 // begin also refuses a request with a suspect part that may not be tried now, and
-// makes any other one the trial of its suspect parts (rule 6).
+// makes any other one the trial of its suspect parts (rule 6) and of itself, if it was
+// held (rule 11).
 func (t *Tracker) begin(req *hbs.Request, now time.Time) *hbs.Refusal {
-	if r := t.check(req, now); r != nil || len(t.suspects) == 0 {
+	if r := t.check(req, now); r != nil {
 		return r
 	}
 	var tried []*part
-	for _, id := range req.Parts {
-		p := t.suspects[partKey{req.Model, id}]
-		if p == nil {
-			continue
+	for k := range keys(req) {
+		p := t.suspects[k]
+		if k.whole() {
+			p = t.parts[k]
 		}
-		if !p.mayTry(now) {
+		switch {
+		case p == nil, k.whole() && len(p.crashes) < heldCrashes:
+			continue
+		case !k.whole() && !p.mayTry(now):
 			t.count(meterTrialsRefused)
-			return hbs.NotRun(hbs.ReasonQuarantined, "part "+string(id)+" is suspect", trialPause)
+			return hbs.NotRun(k.reason(), k.String()+" is suspect", trialPause)
 		}
 		tried = append(tried, p)
 	}
@@ -203,7 +232,7 @@
 		return
 	}
 	for _, id := range req.Parts {
-		if p := t.suspects[partKey{req.Model, id}]; p != nil && p.trial == req.ID {
+		if p := t.suspects[partKey{model: req.Model, id: id}]; p != nil && p.trial == req.ID {
 			p.trial = ""
 		}
 	}
@@ -218,9 +247,13 @@
 	t.add(req.Model, balance{crashed: 1}, now)
 	known := t.addMoment(id, now, now)
 	t.broke(id)
+	depth := 0
+	for k := range keys(req) {
+		t.addCrash(k, id, crash{now, known, true, depth}, now)
+		depth++
+	}
 	for i, name := range req.Parts {
 		names[i] = string(name)
-		t.addCrash(partKey{req.Model, name}, id, crash{now, known, true, i}, now)
 	}
 	again = t.mayRepeat(req)
 	t.judge(now)
@@ -233,11 +266,14 @@
 	return again
 }
 
-// mayRepeat reports whether one of a request's parts has at most one crash, or it
-// has no parts.
+// mayRepeat reports whether a request has at most one crash, and one of its parts too if
+// it has parts.
 func (t *Tracker) mayRepeat(req *hbs.Request) bool {
+	if p := t.parts[wholeKey(req)]; p != nil && len(p.crashes) > 1 {
+		return false
+	}
 	for _, id := range req.Parts {
-		if p := t.parts[partKey{req.Model, id}]; p == nil || len(p.crashes) <= 1 {
+		if p := t.parts[partKey{model: req.Model, id: id}]; p == nil || len(p.crashes) <= 1 {
 			return true
 		}
 	}
@@ -251,8 +287,7 @@
 	t.add(req.Model, balance{answered: 1}, now)
 	news := false
 	if len(t.parts) > 0 {
-		for _, id := range req.Parts {
-			k := partKey{req.Model, id}
+		for k := range keys(req) {
 			p := t.parts[k]
 			if p == nil {
 				continue
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -53,8 +53,10 @@
 
 // entry is an entry of any of the lists. Crashes have an endpoint, quarantines an end.
 type entry struct {
-	Model       hbs.ModelName   `json:"model"`
-	Part        hbs.PartID      `json:"part"`
+	Model hbs.ModelName `json:"model"`
+	// Part and Request tell what the entry is about; one of them is set.
+	Part        hbs.PartID      `json:"part,omitempty"`
+	Request     hbs.Fingerprint `json:"request,omitempty"`
 	Endpoint    hbs.EndpointID  `json:"endpoint,omitempty"`
 	Incarnation hbs.Incarnation `json:"incarnation,omitempty"`
 	// Depth is the place of the part in the prompt, from 0.
@@ -70,8 +72,10 @@
 // Validate returns an error if the entry can't be used.
 func (e *entry) Validate() error {
 	switch {
-	case e.Part == "" || len(e.Part) > maxName || len(e.Model) > maxName:
-		return errors.New("part or model has no usable name")
+	case (e.Part == "") == (e.Request == ""):
+		return errors.New("entry is not about one part or one request")
+	case len(e.Part) > maxName || len(e.Request) > maxName || len(e.Model) > maxName:
+		return errors.New("name of a part, request or model is too long")
 	case len(e.Endpoint) > maxName || len(e.Incarnation) > maxName:
 		return errors.New("name of an endpoint is too long")
 	case e.AgeMS < 0 || e.AgeMS > maxDuration.Milliseconds():
@@ -80,7 +84,7 @@
 	return nil
 }
 
-func (e *entry) key() partKey { return partKey{e.Model, e.Part} }
+func (e *entry) key() partKey { return partKey{e.Model, e.Part, e.Request} }
 
 // at returns the time of what the entry tells, if it was written at now.
 func (e *entry) at(now time.Time) time.Time {
@@ -97,7 +101,7 @@
 	t.judge(now)
 	var crashes, quarantines, answers []entry
 	for k, p := range t.parts {
-		e := entry{Model: k.model, Part: k.id}
+		e := entry{Model: k.model, Part: k.id, Request: k.request}
 		for id, c := range p.crashes {
 			if c.own && now.Sub(c.at) <= crashTTL {
 				e.Endpoint, e.Incarnation, e.Again, e.Depth, e.AgeMS = id.endpoint, id.incarnation, id.again, p.depth, now.Sub(c.at).Milliseconds()
@@ -105,7 +109,7 @@
 				p.told = true
 			}
 		}
-		e = entry{Model: k.model, Part: k.id}
+		e = entry{Model: k.model, Part: k.id, Request: k.request}
 		if p.own && now.Before(p.until) {
 			e.AgeMS, e.UntilMS = now.Sub(p.from).Milliseconds(), p.until.UnixMilli()
 			quarantines = append(quarantines, e)
@@ -140,7 +144,7 @@
 // encodeEntries encodes the newest entries.
 func encodeEntries(es []entry) ([]json.RawMessage, error) {
 	slices.SortFunc(es, func(a, b entry) int {
-		return cmp.Or(cmp.Compare(a.AgeMS, b.AgeMS), cmp.Compare(a.Part, b.Part), cmp.Compare(a.Endpoint, b.Endpoint))
+		return cmp.Or(cmp.Compare(a.AgeMS, b.AgeMS), cmp.Compare(a.Part, b.Part), cmp.Compare(a.Request, b.Request), cmp.Compare(a.Endpoint, b.Endpoint))
 	})
 	var list []json.RawMessage
 	for _, e := range es[:min(len(es), maxEntries)] {
--- a/standin/pool/pool.go
+++ b/standin/pool/pool.go
@@ -69,6 +69,9 @@
 	// request with it, other than as the last part, crashes and is back after DownTime
 	// as a new incarnation. Empty means none.
 	DeadlyPart string
+	// DeadlyPath is the path, with the query, of requests under which the endpoint
+	// crashes likewise. Empty means none.
+	DeadlyPath string
 	DownTime   time.Duration
 	// Endless, if not nil, answers every request, order and poll in place of the
 	// endpoint, at EndlessRate.
@@ -378,7 +381,7 @@
 	if faults.DropAnswer {
 		panic(http.ErrAbortHandler)
 	}
-	if hasSharedPart(r.Header, faults.DeadlyPart) {
+	if hasSharedPart(r.Header, faults.DeadlyPart) || r.RequestURI == faults.DeadlyPath {
 		e.Crash(faults.DownTime)
 		panic(http.ErrAbortHandler)
 	}
