--- a/quarantine/judge.go
+++ b/quarantine/judge.go
@@ -197,7 +197,6 @@
 // quarantine begins a quarantine, which another instance told of if from is not
 // empty.
 func (t *Tracker) quarantine(k partKey, p *part, now time.Time, d time.Duration, from string) {
-	t.count(meterQuarantined)
 	engines := make([]string, 0, len(p.crashes))
 	for id := range p.crashes {
 		engines = append(engines, string(id.endpoint))
@@ -205,10 +204,11 @@
 	slices.Sort(engines)
 	p.offences++
 	answered, share := t.others(k, p)
-	message := "part quarantined"
+	message, meter := "part quarantined", meterQuarantined
 	if k.whole() {
-		message = "request quarantined"
+		message, meter = "request quarantined", meterWhole
 	}
+	t.count(meter)
 	t.log().Warn(message, zap.String("model", string(k.model)), k.field(),
 		zap.Int("crashes", len(engines)), zap.Int("distinct", t.distinctCrashes(p)), zap.Int("others_answered", answered), zap.Float64("share_answered", share),
 		zap.Strings("engines", engines), zap.Duration("first_crash", now.Sub(p.firstCrash(now))),
