converge: lines about loads tell the version and the reference

weights loaded had no version, so that loads of two versions could only be told apart by joining lines. loads at once changed named the shortest load, which the limit no longer goes by: the field is now reference, the median of the loads that others are compared with. An outward name changes with its meaning.

--- a/converge/converge.go
+++ b/converge/converge.go
@@ -162,7 +162,7 @@
 	c.limiter.record(o.drain, o.load)
 	if c.limiter.maxLoads != before {
 		c.Log.Info("loads at once changed", zap.Int("from", before), zap.Int("to", c.limiter.maxLoads),
-			zap.Duration("load", o.load), zap.Duration("shortest", c.limiter.reference.median))
+			zap.Duration("load", o.load), zap.Duration("reference", c.limiter.reference.median))
 	}
 }
 
--- a/converge/step.go
+++ b/converge/step.go
@@ -148,7 +148,7 @@
 			return outcome{engine: s.engine.ID, failed: true}
 		}
 		if s.waitForRecord(ctx, drained) {
-			return s.loadedOutcome(start, drained)
+			return s.loadedOutcome(version, start, drained)
 		}
 	}
 	return outcome{engine: s.engine.ID, failed: true}
@@ -167,13 +167,14 @@
 	})
 }
 
-// loadedOutcome returns the outcome for an engine that has other weights.
-func (s *step) loadedOutcome(start, drained time.Time) outcome {
+// loadedOutcome returns the outcome for an engine that has other weights, ordered to load
+// version.
+func (s *step) loadedOutcome(version int64, start, drained time.Time) outcome {
 	o := outcome{engine: s.engine.ID}
 	if s.accepted && !drained.IsZero() {
 		o.drain, o.load = drained.Sub(start), time.Since(drained)
 	}
-	s.Log.Info("weights loaded", zap.String("endpoint", string(s.engine.ID)),
+	s.Log.Info("weights loaded", zap.String("endpoint", string(s.engine.ID)), zap.Int64("version", version),
 		zap.Duration("drain", o.drain), zap.Duration("load", o.load))
 	return o
 }
