--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -23,8 +23,9 @@
 //     the connection to an engine, or to an endpoint of a plain service, breaks before
 //     an attempt has written two events, or a response with neither a length nor chunks
 //     ends with it, one dial finds out whether the engine crashed: then nothing listens
-//     there, and its record tells of no planned end. A request under which maxCrashes engines crashed is not sent to
-//     another, and one of which Crashes says so already after the first.
+//     there, and its record tells of no planned end. A request under which maxCrashes
+//     engines crashed is not sent to another, and one of which Crashes says so already
+//     after the first.
 package dispatch
 
 import (
