--- a/gateway/deadlyrequest_test.go
+++ b/gateway/deadlyrequest_test.go
@@ -73,7 +73,7 @@
 }
 
 // Guards against a request that crashes all engines of a small service again and again,
-// as nobody notices that it is the same one come again.
+// as nobody notices that it is the same one, repeated.
 var _ = DescribeTable("a request that crashes the engines of a plain service is kept from them at all instances",
 	func(c call, interval, down time.Duration) {
 		withFleet(func(f *fleet) {
--- a/gateway/fingerprint_test.go
+++ b/gateway/fingerprint_test.go
@@ -13,7 +13,7 @@
 
 // Guards against logs that don't tell which broken attempts were at a request come
 // again.
-var _ = It("attempts that broke are logged with a fingerprint that tells requests come again from others", func() {
+var _ = It("attempts that broke are logged with a fingerprint that tells repeated requests from others", func() {
 	withFleet(func(f *fleet) {
 		f.publishRoutes(2, goodKey, "second")
 		time.Sleep(settleTime)
--- a/gateway/objecthandlers.go
+++ b/gateway/objecthandlers.go
@@ -19,7 +19,7 @@
 	put func(*hbs.Object)
 	// confirm reports that everything up to asOf was applied.
 	confirm func(asOf time.Time)
-	// contact is told of the watch; may be nil.
+	// contact records the state of the watch; may be nil.
 	contact *contact
 }
 
--- a/outcome.go
+++ b/outcome.go
@@ -96,7 +96,7 @@
 	{ReasonIncomplete, http.StatusBadGateway, "stream incomplete", "The stream ended early and could not be resumed."},
 	{ReasonEndpointError, http.StatusBadGateway, "endpoint error", "The endpoint returned an error."},
 	{ReasonQuarantined, http.StatusServiceUnavailable, "part quarantined", "Engines crashed on requests that have a part of the prompt in common, so requests with that part are not sent to engines for some time."},
-	{ReasonRequestQuarantined, http.StatusServiceUnavailable, "request quarantined", "Engines crashed on this request, which came again with the same path, caller and body, so it is not sent to engines for some time."},
+	{ReasonRequestQuarantined, http.StatusServiceUnavailable, "request quarantined", "Engines crashed on this request, which was repeated with the same path, caller and body, so it is not sent to engines for some time."},
 	{ReasonCanceled, 499, "canceled", "The caller disconnected before the response was complete."},
 	{ReasonInternal, http.StatusInternalServerError, "internal error", "An error in the router; its log contains the cause."},
 }
--- a/quarantine/judge.go
+++ b/quarantine/judge.go
@@ -174,7 +174,7 @@
 	return false
 }
 
-// oneRequest reports whether a single request, come again, was at all of a part's crashes.
+// oneRequest reports whether one repeated request was at all of a part's crashes.
 func (t *Tracker) oneRequest(k partKey, p *part) bool {
 	for other, q := range t.parts {
 		if other.whole() && other.sameModel(k) && q.until.IsZero() && covers(q, p) {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -2,7 +2,7 @@
 // what attempts at engines met with, and keeps them from engines.
 //
 // A part is identified by the model and the part's ID, whatever the workspace, and a
-// request that comes again by its fingerprint. Endpoints of plain services are engines
+// repeated request by its fingerprint. Endpoints of plain services are engines
 // here too. The package knows nothing of networks: it is told of crashes and of answers.
 //
 // Rules:
@@ -49,7 +49,7 @@
 //  10. Everything told is bounded, in bytes, entries and time, and an entry that can't
 //     be used is ignored alone. Times are told as ages, since clocks differ; only the
 //     end of a quarantine is a time of day, and it is bounded by maxDuration.
-//  11. A request that comes again counts as a part of itself behind the last one, by its
+//  11. A repeated request counts as a part of itself behind the last one, by its
 //     fingerprint: rules 1, 3, 5 and 7 to 10 hold for it. Parts and requests explain
 //     crashes only among their own kind, but what is quarantined of either kind may
 //     explain all crashes of the other. A request with heldCrashes crashes is held: an
--- a/quarantine/request_test.go
+++ b/quarantine/request_test.go
@@ -14,7 +14,7 @@
 	"github.com/hornbeamstage/hornbeamstage/quarantine"
 )
 
-// again returns a request with an ID of its own for a plain service, come again if the
+// again returns a request with an ID of its own for a plain service, a repeated one if the
 // fingerprint was used before.
 func again(f hbs.Fingerprint) *hbs.Request {
 	requests++
@@ -39,7 +39,7 @@
 	return value
 }
 
-var _ = Describe("a request that comes again", func() {
+var _ = Describe("a repeated request", func() {
 	// Guards against a request that crashes all engines whenever they are back.
 	It("is refused after three crashes of which the last was a trial, for itself only (rules 11 and 12)", func() {
 		inBubble(func(g *WithT) {
@@ -253,7 +253,7 @@
 	crashes, sent []time.Time
 }
 
-// flight is a deadly request come again, which waits for an engine or runs at one.
+// flight is a repeated deadly request, which waits for an engine or runs at one.
 type flight struct {
 	req           *hbs.Request
 	by            *quarantine.Tracker
@@ -262,7 +262,7 @@
 	attempts      int
 }
 
-// come lets the request come again at one of the instances.
+// come repeats the request at one of the instances.
 func (s *attackedService) come(now time.Time) {
 	f := flight{req: again("w/dead"), by: s.trackers[s.rng.IntN(len(s.trackers))], arrived: now}
 	if f.by.Check(f.req) == nil {
--- a/request.go
+++ b/request.go
@@ -78,7 +78,7 @@
 	// Parts are the parts of the prompt that other requests may share: all but the
 	// last, in order. Empty where callers don't name parts.
 	Parts []PartID
-	// Fingerprint is empty where nothing is told of requests that come again.
+	// Fingerprint is empty where repeated requests are not tracked.
 	Fingerprint Fingerprint
 	// PromptTokens is the estimated length of the prompt. ExpectedTokens is the
 	// expected length of the response, at least 1 for requests to models.
