gateway, platform: hundreds of instances follow changes with fewer requests

Cause: while records change all the time, as those of hundreds of engines do, each instance asked for the next changes 80 ms after the last: 12 requests a second for each instance and kind, each with a decoded response and a roster.

Change: the time between a response with changes and the next request of the same watch grows with the number of instances, so that all of them use a twentieth of the store's read rate for a kind, up to 400 ms. With some dozens of instances nothing changes.

--- a/gateway/assemble.go
+++ b/gateway/assemble.go
@@ -36,6 +36,11 @@
 	// storeRateShare is the fraction of the store's request rate limits that
 	// one instance may use.
 	storeRateShare = 0.1
+	// changeRateShare is the fraction of the store's read rate that all instances
+	// together may use to follow the changes of one kind of object, and maxBatchDelay
+	// bounds how much later they therefore learn of a change.
+	changeRateShare = 0.05
+	maxBatchDelay   = 400 * time.Millisecond
 	// retryRatioShare is the fraction of the deployment's retry ratio that
 	// instances use. The rest absorbs what instances don't know of each other's
 	// retries.
@@ -107,7 +112,7 @@
 func (g *Gateway) assembleStore(self hbs.Instance) {
 	s := g.PlatformSettings
 	g.store = &platform.Client{
-		Address: s.Store, Network: g.Network, Timeout: callTimeout, Form: s.Form, WatchWait: watchWait, LongWaits: longWaits,
+		Address: s.Store, Network: g.Network, Timeout: callTimeout, Form: s.Form, WatchWait: watchWait, LongWaits: longWaits, BatchDelay: g.batchDelay,
 		ReadsPerSecond: storeRateShare * s.ReadsPerSecond, WritesPerSecond: storeRateShare * s.WritesPerSecond,
 		Policy: g.policy, Metrics: g.Metrics, Log: g.Log.Named("store"), OnRestore: g.writeAgain,
 	}
@@ -122,6 +127,16 @@
 	}
 }
 
+// batchDelay returns the time between a response with changes and the next request of the
+// same watch. It grows with the number of instances, which all make these requests.
+func (g *Gateway) batchDelay() time.Duration {
+	rate := changeRateShare * g.PlatformSettings.ReadsPerSecond
+	if rate <= 0 {
+		return 0
+	}
+	return min(maxBatchDelay, time.Duration(float64(g.presence.Count())/rate*float64(time.Second)))
+}
+
 // newContact returns the contact of a watch that has not begun.
 func (g *Gateway) newContact() *contact {
 	return &contact{StableTime: g.PlatformSettings.Bounds.StableTime, Suspended: g.Suspended}
--- a/gateway/manyinstances_test.go
+++ b/gateway/manyinstances_test.go
@@ -6,7 +6,9 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
 
+	"github.com/hornbeamstage/hornbeamstage/platform"
 	"github.com/hornbeamstage/hornbeamstage/presence"
 	"github.com/hornbeamstage/hornbeamstage/standin/pool"
 )
@@ -54,3 +56,43 @@
 		})
 	})
 })
+
+// watches returns the number of requests with which instance i followed the records of
+// endpoints.
+func (f *fleet) watches(i int) int64 {
+	return metrics.GetOrRegisterCounter("platform_watches_servers", f.instances[i].Metrics).Count()
+}
+
+// changeFor changes records of endpoints all the time, for d, and returns the number of
+// requests with which instance 0 followed them.
+func (f *fleet) changeFor(d time.Duration) int64 {
+	before := f.watches(0)
+	end := time.Now().Add(d)
+	for n := 0; time.Now().Before(end); n++ {
+		record := map[string]any{"n": n}
+		f.Expect(f.store.Put(platform.KindEndpoints, "changing", record)).To(Succeed())
+		time.Sleep(10 * time.Millisecond)
+	}
+	return f.watches(0) - before
+}
+
+// Guards against calls to the store that grow with the instances and the changes: each
+// instance followed each change with a request of its own.
+var _ = Describe("the requests for changes of records", func() {
+	It("come seldom while there are hundreds of instances", func() {
+		withFleet(func(f *fleet) {
+			const instances, seconds = 300, 10
+			f.listInstances(instances)
+			f.restart(0, 1)
+			time.Sleep(3 * time.Second)
+			f.Expect(f.changeFor(seconds * time.Second)).To(BeNumerically("<=", 3*seconds))
+		})
+	})
+
+	It("come at once while there are few instances", func() {
+		withFleet(func(f *fleet) {
+			time.Sleep(3 * time.Second)
+			f.Expect(f.changeFor(10 * time.Second)).To(BeNumerically(">=", 100))
+		})
+	})
+})
