dispatch, placement, platform: a broken stream goes on at the software version that began it

What two versions write doesn't fit together.

Cause: an engine's record tells its version, but it was dropped when the record was decoded. A stream that broke off was continued at any engine of the service.

Change: Endpoint.Software has the version. The dispatcher keeps that of the endpoint that sent the first event and continues a stream only there; the placement knows it as it knows weights. Where that version has no endpoint left, the answer ends as it does when no endpoint is left at all.

The spec fails without the dispatcher's part: a stream of one response has events of both versions.

--- a/attempt/attempt.go
+++ b/attempt/attempt.go
@@ -74,6 +74,9 @@
 	Win func() bool
 	// Sink receives the response once Win has returned true.
 	Sink hbs.Sink
+	// Begin is called before Sink is first used for a stream that starts from the
+	// beginning, and delays it until it returns; may be nil.
+	Begin func(ctx context.Context)
 	// FirstToken is called when the first event of a stream or, from a plain
 	// service, the first byte of the response arrives. cached is the number of
 	// cached prompt tokens, negative while unknown.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -26,6 +26,7 @@
 //     there, and its record tells of no planned end. A request under which maxCrashes
 //     engines crashed is not sent to another, and one of which Crashes says so already
 //     after the first.
+//  8. A stream stays at the software version of the endpoint that sent its first event.
 package dispatch
 
 import (
@@ -146,6 +147,8 @@
 	// broken stream; consecutive is whether the IDs up to it were consecutive.
 	lastEvent   string
 	consecutive bool
+	// began is the software version of the endpoint that began the response.
+	began hbs.SoftwareVersion
 }
 
 func (s *requestState) serve(ctx context.Context) (hbs.Outcome, error) {
@@ -185,8 +188,19 @@
 	}
 }
 
+// setSoftware sets the software version of the next attempt (rule 8).
+func (s *requestState) setSoftware() {
+	if s.lastEvent == "" || s.began == s.req.Software {
+		return
+	}
+	req := *s.req
+	req.Software = s.began
+	s.req = &req
+}
+
 // placeRetry places a retry (rule 3).
 func (s *requestState) placeRetry(ctx context.Context, res *attempt.Result) (hbs.Placement, bool) {
+	s.setSoftware()
 	p, ok := s.admission.TryPlace(s.req, s.tried)
 	if ok || res.End != hbs.EndUnreached && res.End != hbs.EndRefused {
 		return p, ok
@@ -200,6 +214,7 @@
 	s.startedCount++
 	s.tried = append(s.tried, p.Endpoint.ID)
 	return &attempt.Call{
+		Begin:       s.begin(p),
 		Request:     s.req,
 		Placement:   p,
 		Gate:        s.gate,
@@ -215,6 +230,13 @@
 	}
 }
 
+// begin returns the function that is called before the first event of the attempt at p is
+// passed on.
+func (s *requestState) begin(p *hbs.Placement) func(context.Context) {
+	v := p.Endpoint.Software
+	return func(context.Context) { s.began = v }
+}
+
 // runAttempt runs one attempt, releases its placement and credits the budgets
 // for retries and hedges if it completed.
 func (s *requestState) runAttempt(ctx context.Context, c *attempt.Call) attempt.Result {
--- a/endpoint.go
+++ b/endpoint.go
@@ -109,6 +109,9 @@
 	// CacheTokens is the size of the prefix cache in tokens, 0 if unknown.
 	CacheTokens  int          `json:"cache_tokens,omitempty" cbor:"13,keyasint,omitempty"`
 	Capabilities Capabilities `json:"capabilities" cbor:"14,keyasint"`
+	// Software is the version of the endpoint's software; empty where the platform doesn't
+	// tell.
+	Software SoftwareVersion `json:"-" cbor:"-" toml:"-"`
 	// Revision is the platform's revision of the record. It is set only in a Roster.
 	Revision Revision `json:"-" cbor:"-" toml:"-"`
 	// Heartbeats is the number of heartbeats that the endpoint's incarnation had sent when
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -37,13 +37,13 @@
 		if len(batch) > 0 {
 			r.recordFirstToken()
 			r.recordGap()
-			if err := r.passEvents(res, batch); err != nil {
+			if err := r.passEvents(ctx, res, batch); err != nil {
 				r.failBroken(ctx, err)
 				return
 			}
 		}
 		if err == io.EOF {
-			r.endStream(res, s)
+			r.endStream(ctx, res, s)
 			return
 		}
 		if err != nil {
@@ -68,18 +68,26 @@
 	}
 }
 
-func (r *run) passEvents(res *http.Response, batch []byte) error {
-	if err := r.startResponse(res); err != nil {
+func (r *run) passEvents(ctx context.Context, res *http.Response, batch []byte) error {
+	if err := r.startStream(ctx, res); err != nil {
 		return err
 	}
 	return r.write(batch)
 }
 
+// startStream starts a stream like startResponse.
+func (r *run) startStream(ctx context.Context, res *http.Response) error {
+	if !r.result.Started && r.ResumeAfter == "" && r.Begin != nil {
+		r.Begin(ctx)
+	}
+	return r.startResponse(res)
+}
+
 // endStream records the end of a stream that the endpoint ended properly.
-func (r *run) endStream(res *http.Response, s *eventReader) {
+func (r *run) endStream(ctx context.Context, res *http.Response, s *eventReader) {
 	r.result.OutputTokens = r.tokenCount(s.count)
 	// A response without events still has to be started.
-	if err := r.startResponse(res); err != nil {
+	if err := r.startStream(ctx, res); err != nil {
 		r.result.Refusal = &hbs.Refusal{Outcome: hbs.OutcomeUnknown, Reason: hbs.ReasonCanceled}
 		r.result.End = hbs.EndCanceled
 		return
--- a/identity.go
+++ b/identity.go
@@ -15,6 +15,10 @@
 // WeightsVersion identifies a version of a model's weights.
 type WeightsVersion string
 
+// SoftwareVersion identifies a version of the software that an endpoint runs. It is
+// compared only for equality.
+type SoftwareVersion string
+
 // ServiceName is the name of a plain service, which is not a model engine.
 type ServiceName string
 
--- a/placement/candidates.go
+++ b/placement/candidates.go
@@ -27,15 +27,16 @@
 // eligibleKey identifies a cached list of endpoints by what requests need of
 // them.
 type eligibleKey struct {
-	scope   Scope
-	adapter hbs.AdapterName
-	weights hbs.WeightsVersion
+	scope    Scope
+	adapter  hbs.AdapterName
+	weights  hbs.WeightsVersion
+	software hbs.SoftwareVersion
 }
 
 // eligible returns the endpoints of the scope that may serve the request
 // according to the roster. The list is cached until the roster changes.
 func (p *Placer) eligible(g *group, scope Scope, req *hbs.Request) []*member {
-	key := eligibleKey{scope, req.Adapter, req.Weights}
+	key := eligibleKey{scope, req.Adapter, req.Weights, req.Software}
 	if list, ok := g.eligible[key]; ok {
 		return list
 	}
--- a/placement/usable.go
+++ b/placement/usable.go
@@ -11,7 +11,7 @@
 	if e.State != hbs.StateLive {
 		return false
 	}
-	if e.Service != req.Service {
+	if e.Service != req.Service || req.Software != "" && e.Software != req.Software {
 		return false
 	}
 	if req.Model == "" {
--- a/request.go
+++ b/request.go
@@ -49,7 +49,7 @@
 type Fingerprint string
 
 // Request is a decoded request of a caller. It does not change after decoding;
-// admission sets Favoured on a copy.
+// admission sets Favoured on a copy, the dispatcher Software.
 type Request struct {
 	ID        RequestID
 	Workspace WorkspaceID
@@ -91,6 +91,10 @@
 	// Stream means that the caller requested the response as a stream of events.
 	Stream bool
 
+	// Software is the only version whose endpoints may serve the request; empty if any
+	// may. The dispatcher sets it on its copy of the request.
+	Software SoftwareVersion
+
 	// CacheScope isolates cached prefixes: on engines that receive it, requests with
 	// different values share no cached prefixes. Requests without one share theirs.
 	CacheScope string
--- a/standin/pool/pool.go
+++ b/standin/pool/pool.go
@@ -88,6 +88,8 @@
 	Network hbs.Network
 	// Model is empty for a plain service.
 	Model hbs.ModelName
+	// Software is the version of the endpoint's software in its record; empty means none.
+	Software string
 	// Work is the time to the answer or its first event, Gap the time between two
 	// events.
 	Work, Gap time.Duration
@@ -142,6 +144,7 @@
 	Zone     string  `json:"zone,omitempty"`
 	Slots    int     `json:"slots,omitempty"`
 	State    string  `json:"state,omitempty"`
+	Version  string  `json:"version,omitempty"`
 	Models   []model `json:"models,omitempty"`
 	Busy     bool    `json:"busy"`
 	Sequence int     `json:"sequence"`
@@ -163,6 +166,7 @@
 	defer e.mu.Unlock()
 	r := e.report()
 	r.Service, r.Address, r.Zone, r.Slots, r.State = string(e.Service), e.Address.String(), string(e.Domain), slots, "ready"
+	r.Version = e.Software
 	if e.state != "" {
 		r.State = e.state
 	}
