release, gateway: a stream that a caller resumes goes on at the software version that began it

Cause: the version that began a stream was known to nobody, and the headers Resumes and Last-Event-Id were passed on unread.

Change: package release. A record in the platform's store tells with which shares the versions of a service begin resumable streams, and the ID of the request that begins one decides by them; so any instance can tell the version again while the record is settled, whoever was killed. Around a change of the record, which follows the engines' slots, each instance stores the versions of the streams that it begins, before the first event is passed on.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -28,6 +28,7 @@
 	"github.com/hornbeamstage/hornbeamstage/placement"
 	"github.com/hornbeamstage/hornbeamstage/platform"
 	"github.com/hornbeamstage/hornbeamstage/quarantine"
+	"github.com/hornbeamstage/hornbeamstage/release"
 	"github.com/hornbeamstage/hornbeamstage/retry"
 	"github.com/hornbeamstage/hornbeamstage/weights"
 )
@@ -80,6 +81,7 @@
 		placement.Meters,
 		platform.Meters,
 		quarantine.Meters,
+		release.Meters,
 		retry.Meters,
 	)
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -26,7 +26,9 @@
 //     there, and its record tells of no planned end. A request under which maxCrashes
 //     engines crashed is not sent to another, and one of which Crashes says so already
 //     after the first.
-//  8. A stream stays at the software version of the endpoint that sent its first event.
+//  8. A resumable stream is placed at the software version that Streams names, anew for
+//     each attempt until an event was passed on. After that it stays at the version that
+//     sent this event.
 package dispatch
 
 import (
@@ -68,6 +70,9 @@
 	CountRefused bool
 	// Crashes keeps requests from engines that they would crash; may be nil.
 	Crashes hbs.CrashWatch
+	// Streams keeps resumable streams at one version of the endpoints' software; nil where
+	// callers can't resume streams.
+	Streams hbs.StreamKeeper
 
 	once      sync.Once
 	admission *admission.Controller
@@ -157,6 +162,9 @@
 			return s.refuse(r)
 		}
 	}
+	if err := s.setSoftware(ctx); err != nil {
+		return s.refuse(err)
+	}
 	p, err := s.admission.Place(ctx, s.req)
 	if err != nil {
 		return s.refuse(err)
@@ -189,18 +197,32 @@
 }
 
 // setSoftware sets the software version of the next attempt (rule 8).
-func (s *requestState) setSoftware() {
-	if s.lastEvent == "" || s.began == s.req.Software {
-		return
+func (s *requestState) setSoftware(ctx context.Context) error {
+	v, err := s.nextSoftware(ctx)
+	if err != nil || v == s.req.Software {
+		return err
 	}
 	req := *s.req
-	req.Software = s.began
+	req.Software = v
 	s.req = &req
+	return nil
+}
+
+func (s *requestState) nextSoftware(ctx context.Context) (hbs.SoftwareVersion, error) {
+	switch {
+	case s.lastEvent != "":
+		return s.began, nil
+	case s.Streams == nil:
+		return "", nil
+	}
+	return s.Streams.Version(ctx, s.req)
 }
 
 // placeRetry places a retry (rule 3).
 func (s *requestState) placeRetry(ctx context.Context, res *attempt.Result) (hbs.Placement, bool) {
-	s.setSoftware()
+	if s.setSoftware(ctx) != nil {
+		return hbs.Placement{}, false
+	}
 	p, ok := s.admission.TryPlace(s.req, s.tried)
 	if ok || res.End != hbs.EndUnreached && res.End != hbs.EndRefused {
 		return p, ok
@@ -233,8 +255,13 @@
 // begin returns the function that is called before the first event of the attempt at p is
 // passed on.
 func (s *requestState) begin(p *hbs.Placement) func(context.Context) {
-	v := p.Endpoint.Software
-	return func(context.Context) { s.began = v }
+	req, v := s.req, p.Endpoint.Software
+	return func(ctx context.Context) {
+		s.began = v
+		if s.Streams != nil {
+			s.Streams.Begun(ctx, req, v)
+		}
+	}
 }
 
 // runAttempt runs one attempt, releases its placement and credits the budgets
--- a/gateway/assemble.go
+++ b/gateway/assemble.go
@@ -18,6 +18,7 @@
 	"github.com/hornbeamstage/hornbeamstage/platform"
 	"github.com/hornbeamstage/hornbeamstage/presence"
 	"github.com/hornbeamstage/hornbeamstage/quarantine"
+	"github.com/hornbeamstage/hornbeamstage/release"
 	"github.com/hornbeamstage/hornbeamstage/retry"
 	"github.com/hornbeamstage/hornbeamstage/roster"
 )
@@ -69,7 +70,7 @@
 
 // longWaits has the kinds whose changes are rare, come from all instances at once and
 // need not be known to be the newest. Longer waits save calls.
-var longWaits = map[hbs.ObjectKind]time.Duration{quarantine.Kind: 10 * time.Second}
+var longWaits = map[hbs.ObjectKind]time.Duration{quarantine.Kind: 10 * time.Second, release.KindRecord: 10 * time.Second}
 
 // assemble builds the components in dependency order.
 func (g *Gateway) assemble() {
@@ -159,6 +160,10 @@
 		Self: self.ID, Policy: g.policy, Metrics: g.Metrics, Log: g.Log.Named("quarantine"), Others: g.presence.Others,
 	}
 	g.crashes = quarantine.NewSharer(tracker, g.store, g.Log.Named("quarantine"))
+	g.streams = &release.Keeper{
+		Platform: g.store, Self: self.ID, Directory: g.directory, Others: g.presence.Others, ResumeTimes: g.routes.resumeTimes,
+		Restores: g.store.Restores, Metrics: g.Metrics, Log: g.Log.Named("release"),
+	}
 	sender := &forward.Sender{
 		Network: g.Network, Policy: g.policy, Metrics: g.Metrics,
 		Memory:      g.memory,
@@ -172,7 +177,7 @@
 	}
 	g.dispatcher = &dispatch.Dispatcher{
 		Placer: g.fleet, Directory: g.directory, Policy: g.policy, Network: g.Network,
-		Metrics: g.Metrics, Log: g.Log.Named("dispatch"), Sender: sender, CountRefused: true, Crashes: tracker,
+		Metrics: g.Metrics, Log: g.Log.Named("dispatch"), Sender: sender, CountRefused: true, Crashes: tracker, Streams: g.streams,
 	}
 	g.handler = &handler{
 		routes: g.routes, directory: g.directory, dispatcher: g.dispatcher,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -32,6 +32,7 @@
 	"github.com/hornbeamstage/hornbeamstage/platform"
 	"github.com/hornbeamstage/hornbeamstage/presence"
 	"github.com/hornbeamstage/hornbeamstage/quarantine"
+	"github.com/hornbeamstage/hornbeamstage/release"
 	"github.com/hornbeamstage/hornbeamstage/roster"
 )
 
@@ -76,6 +77,7 @@
 	versions   *weightsVersions
 	presence   *presence.Counter
 	crashes    *quarantine.Sharer
+	streams    *release.Keeper
 	dispatcher *dispatch.Dispatcher
 	fleet      *placement.Placer
 	lease      *lease.Holder
@@ -163,6 +165,8 @@
 		g.newWatcher(platform.KindDesiredWeights, g.versionHandler()).Run,
 		g.newWatcher(quarantine.Kind, &crashHandler{g.crashes}).Run,
 		g.crashes.Run,
+		g.newWatcher(release.KindRecord, &releaseHandler{g.streams}).Run,
+		g.streams.Run,
 		g.lease.Run,
 		g.presence.Run,
 		g.controller.Run,
--- a/gateway/objecthandlers.go
+++ b/gateway/objecthandlers.go
@@ -10,6 +10,7 @@
 	hbs "github.com/hornbeamstage/hornbeamstage"
 	"github.com/hornbeamstage/hornbeamstage/platform"
 	"github.com/hornbeamstage/hornbeamstage/quarantine"
+	"github.com/hornbeamstage/hornbeamstage/release"
 )
 
 // upsertHandler is an objectHandler for objects that are replaced but never
@@ -243,3 +244,22 @@
 func (h *crashHandler) synced(time.Time) { h.sharer.Read() }
 
 func (h *crashHandler) reconnected() {}
+
+// releaseHandler passes the records of software versions on.
+type releaseHandler struct{ keeper *release.Keeper }
+
+func (h *releaseHandler) replace(objs []hbs.Object) { h.keeper.ReplaceRecords(objs) }
+
+func (h *releaseHandler) apply(evs []hbs.WatchEvent) {
+	for i := range evs {
+		if evs[i].Deleted {
+			h.keeper.RemoveRecord(&evs[i].Object)
+			continue
+		}
+		h.keeper.PutRecord(&evs[i].Object)
+	}
+}
+
+func (h *releaseHandler) synced(time.Time) {}
+
+func (h *releaseHandler) reconnected() {}
--- a/outcome.go
+++ b/outcome.go
@@ -55,6 +55,7 @@
 	ReasonQuarantined     Reason = "part_quarantined"
 	// ReasonRequestQuarantined is about a whole request, not about a part of its prompt.
 	ReasonRequestQuarantined Reason = "request_quarantined"
+	ReasonNotResumable       Reason = "not_resumable"
 	ReasonCanceled           Reason = "canceled"
 	ReasonInternal           Reason = "internal"
 )
@@ -99,6 +100,7 @@
 	{ReasonEndpointError, http.StatusBadGateway, "endpoint error", "The endpoint returned an error."},
 	{ReasonQuarantined, http.StatusServiceUnavailable, "part quarantined", "Engines crashed on requests that have a part of the prompt in common, so requests with that part are not sent to engines for some time."},
 	{ReasonRequestQuarantined, http.StatusServiceUnavailable, "request quarantined", "Engines crashed on this request, which was repeated with the same path, caller and body, so it is not sent to engines for some time."},
+	{ReasonNotResumable, http.StatusServiceUnavailable, "stream not resumable", "The software version that began the stream has no endpoints left, or is not known, and no other version can go on with it. The caller has to begin anew."},
 	{ReasonCanceled, 499, "canceled", "The caller disconnected before the response was complete."},
 	{ReasonInternal, http.StatusInternalServerError, "internal error", "An error in the router; its log contains the cause."},
 }
--- /dev/null
+++ b/release/maintain.go
@@ -0,0 +1,235 @@
+package release
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc/pool"
+	"go.uber.org/zap"
+
+	hbs "github.com/hornbeamstage/hornbeamstage"
+	"github.com/hornbeamstage/hornbeamstage/rendezvous"
+)
+
+const (
+	// turnTime is the time by which each instance leaves a write to the one before it
+	// (rule 8), maxTurns bounds the instances that are waited for.
+	turnTime = 250 * time.Millisecond
+	maxTurns = 40
+	// confirmInterval is the time between two checks whether all instances know a record.
+	confirmInterval = time.Second
+	// idleInterval bounds the time between two checks of all records.
+	idleInterval = 10 * time.Second
+)
+
+// Run writes records and this instance's streams until ctx ends. The records are read by
+// whoever watches them and arrive through PutRecord and RemoveRecord.
+func (k *Keeper) Run(ctx context.Context) (err error) {
+	defer func() { err = errors.Wrap(err, "releases") }()
+	k.init()
+	p := pool.New().WithContext(ctx).WithCancelOnError()
+	p.Go(k.storeStreams)
+	p.Go(k.maintain)
+	return p.Wait()
+}
+
+// PutRecord stores a record that was read.
+func (k *Keeper) PutRecord(obj *hbs.Object) {
+	k.init()
+	r, err := decodeRecord(obj)
+	if err != nil {
+		k.Log.Warn("record not read", zap.Error(err))
+		r = record{Open: true}
+	}
+	service := hbs.ServiceName(obj.Name)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.seen = max(k.seen, obj.Revision)
+	if st := k.states[service]; st != nil && st.revision == obj.Revision {
+		return
+	}
+	k.states[service] = &state{record: r, revision: obj.Revision, readAt: time.Now()}
+	k.changed.Send()
+	if r.Open {
+		k.store.request()
+	}
+	k.Log.Info("record of software versions read", zap.String("service", obj.Name), zap.Any("shares", r.Shares), zap.Bool("open", r.Open),
+		zap.Uint64("revision", uint64(obj.Revision)))
+}
+
+// ReplaceRecords stores a complete listing of the records.
+func (k *Keeper) ReplaceRecords(objs []hbs.Object) {
+	k.init()
+	listed := map[hbs.ServiceName]bool{}
+	for i := range objs {
+		listed[hbs.ServiceName(objs[i].Name)] = true
+		k.PutRecord(&objs[i])
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	maps.DeleteFunc(k.states, func(service hbs.ServiceName, _ *state) bool { return !listed[service] })
+	k.changed.Send()
+}
+
+// RemoveRecord drops a record that was deleted.
+func (k *Keeper) RemoveRecord(obj *hbs.Object) {
+	k.init()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.seen = max(k.seen, obj.Revision)
+	delete(k.states, hbs.ServiceName(obj.Name))
+	k.changed.Send()
+}
+
+// maintain writes the records when they are due, until ctx ends.
+func (k *Keeper) maintain(ctx context.Context) error {
+	// due has when the next record of each service became due.
+	due := map[hbs.ServiceName]time.Time{}
+	for {
+		rosterChanged, recordChanged := k.Directory.Changed(), k.recordChanged()
+		next := idleInterval
+		for service := range k.ResumeTimes() {
+			next = min(next, k.maintainRecord(ctx, service, due))
+		}
+		timer := time.NewTimer(next)
+		select {
+		case <-rosterChanged:
+		case <-recordChanged:
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		}
+		timer.Stop()
+	}
+}
+
+// maintainRecord writes the record of a service if it is due and this instance's turn. It
+// returns the time until it has to be called again.
+func (k *Keeper) maintainRecord(ctx context.Context, service hbs.ServiceName, due map[hbs.ServiceName]time.Time) time.Duration {
+	slots := k.slots(service)
+	if len(slots) == 0 {
+		delete(due, service)
+		return idleInterval
+	}
+	k.mu.Lock()
+	st := k.states[service]
+	k.mu.Unlock()
+	next, after, ok := k.nextRecord(st, slots)
+	if !ok {
+		delete(due, service)
+		return k.settle(ctx, service, st)
+	}
+	if due[service].IsZero() {
+		due[service] = time.Now()
+	}
+	if wait := after + k.turn(service) - time.Since(due[service]); wait > 0 {
+		return wait
+	}
+	delete(due, service)
+	k.write(ctx, service, st, next)
+	return confirmInterval
+}
+
+// turn returns how long this instance leaves a write to others (rule 8).
+func (k *Keeper) turn(service hbs.ServiceName) time.Duration {
+	others, _ := k.Others()
+	return turnTime * time.Duration(min(rendezvous.Place(string(service), k.Self, others), maxTurns))
+}
+
+// nextRecord returns the record that opens after st, if there has to be one, and how long
+// that must have been so before it is written (rules 2 and 6).
+func (k *Keeper) nextRecord(st *state, slots versionSlots) (next record, after time.Duration, ok bool) {
+	next = record{Shares: slots.shares(), Open: true, Restores: k.Restores()}
+	switch {
+	case st == nil || len(st.Shares) == 0 || slots.lacks(st.Shares):
+		return next, 0, true
+	case st.Restores != next.Restores:
+		next.Shares = st.Shares
+		return next, 0, true
+	}
+	return next, steadyTime, slots.skewed(st.Shares)
+}
+
+// settle settles an open record once that is due (rule 4), and returns the time until it
+// has to be called again.
+func (k *Keeper) settle(ctx context.Context, service hbs.ServiceName, st *state) time.Duration {
+	if !st.Open {
+		return idleInterval
+	}
+	if wait := confirmInterval + 4*k.turn(service) - time.Since(st.readAt); wait > 0 {
+		return wait
+	}
+	if st.confirmedAt.IsZero() && !k.confirm(ctx, st) {
+		return confirmInterval
+	}
+	if wait := k.ResumeTimes()[service] - time.Since(st.confirmedAt); wait > 0 {
+		return wait
+	}
+	k.write(ctx, service, st, record{Shares: st.Shares, Restores: st.Restores})
+	for _, o := range st.abandoned {
+		err := k.Platform.Delete(ctx, KindStreams, o.Name, o.Revision)
+		k.Log.Info("attempted to delete streams of an instance that is gone", zap.String("instance", o.Name), zap.Error(err))
+	}
+	return confirmInterval
+}
+
+// confirm reports whether all other instances know a record, and records when they first
+// did and which other instances have stored streams.
+func (k *Keeper) confirm(ctx context.Context, st *state) bool {
+	others, ok := k.Others()
+	if !ok {
+		return false
+	}
+	objs, _, err := k.Platform.List(ctx, KindStreams)
+	if err != nil {
+		k.Log.Debug("instances that know a record not read", zap.Error(err))
+		return false
+	}
+	silent := map[string]bool{string(k.Self): true}
+	for _, id := range others {
+		silent[string(id)] = true
+	}
+	st.abandoned = nil
+	for i := range objs {
+		if !silent[objs[i].Name] {
+			st.abandoned = append(st.abandoned, objs[i])
+			continue
+		}
+		if s, err := decodeStreams(&objs[i]); err == nil && s.Seen >= st.revision {
+			delete(silent, objs[i].Name)
+		}
+	}
+	if len(silent) > 0 && time.Since(st.readAt) < maxSilence {
+		return false
+	}
+	if len(silent) > 0 {
+		k.Log.Warn("instances not known to have read a record", zap.Strings("instances", slices.Sorted(maps.Keys(silent))), zap.Duration("waited", time.Since(st.readAt)))
+	}
+	st.confirmedAt = time.Now()
+	return true
+}
+
+// write replaces the record of a service, whose last known state is st. The new one arrives
+// through PutRecord.
+func (k *Keeper) write(ctx context.Context, service hbs.ServiceName, st *state, next record) {
+	value, err := json.Marshal(next)
+	if err != nil {
+		k.Log.Error("record not encoded", zap.Error(err))
+		return
+	}
+	obj := hbs.Object{Kind: KindRecord, Name: string(service), Value: value}
+	put := k.Platform.Create
+	var from shares
+	if st != nil {
+		obj.Revision, put, from = st.revision, k.Platform.Update, st.Shares
+	}
+	_, err = put(ctx, obj)
+	k.count(meterRecords)
+	k.Log.Info("record of software versions written", zap.String("service", string(service)), zap.Any("from", from),
+		zap.Any("shares", next.Shares), zap.Bool("open", next.Open), zap.Error(err))
+}
--- a/request.go
+++ b/request.go
@@ -1,6 +1,9 @@
 package hornbeamstage
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 // RouteClass determines whether a request may run more than once.
 type RouteClass string
@@ -91,6 +94,10 @@
 	// Stream means that the caller requested the response as a stream of events.
 	Stream bool
 
+	// Resumable means that callers may resume the stream, in a further request, where an
+	// earlier response broke off. Resumes is set if this request does.
+	Resumable bool
+	Resumes   *Resumption
 	// Software is the only version whose endpoints may serve the request; empty if any
 	// may. The dispatcher sets it on its copy of the request.
 	Software SoftwareVersion
@@ -117,6 +124,25 @@
 	Body []byte
 }
 
+// Resumption tells where a stream goes on that a caller resumes.
+type Resumption struct {
+	// Attempt is the request whose response brought the first event; empty if the caller
+	// didn't tell.
+	Attempt RequestID
+	// After is the ID of the last event that the caller received; not empty.
+	After string
+}
+
+// StreamKeeper keeps each resumable stream at one version of the endpoints' software.
+type StreamKeeper interface {
+	// Version returns the version whose endpoints may serve req, empty if any may. The
+	// error is a *Refusal of a stream that can't go on.
+	Version(ctx context.Context, req *Request) (SoftwareVersion, error)
+	// Begun is called before the first event that an endpoint of version v sent for req is
+	// passed on. It returns when that may be done.
+	Begun(ctx context.Context, req *Request, v SoftwareVersion)
+}
+
 // CanHold reserves memory for n bytes that are kept of a response until the request ends,
 // and reports whether there is any.
 func (q *Request) CanHold(n int) bool { return q.Hold == nil || q.Hold(int64(n)) }
--- a/route/route.go
+++ b/route/route.go
@@ -123,8 +123,11 @@
 	// RequiresKey is set if routes that are not public require a workspace's key.
 	RequiresKey bool
 
-	hosts    map[string][]*Route
-	services map[hbs.ServiceName]*Service
+	hosts map[string][]*Route
+	// resumable has the services with resumable streams and the longest timeout of their
+	// routes.
+	resumable map[hbs.ServiceName]time.Duration
+	services  map[hbs.ServiceName]*Service
 	// store is the first KV cache store in Services, or nil.
 	store *KVStore
 	// keys is indexed by the hash of a key, so that the time of a lookup does not depend
@@ -144,7 +147,7 @@
 // after Routes and Services are complete.
 func (t *Table) Index() (err error) {
 	defer func() { err = errors.Wrapf(err, "route table %d", t.Version) }()
-	t.hosts = map[string][]*Route{}
+	t.hosts, t.resumable = map[string][]*Route{}, map[hbs.ServiceName]time.Duration{}
 	for i := range t.Routes {
 		r := &t.Routes[i]
 		if err := r.validate(); err != nil {
@@ -152,6 +155,7 @@
 		}
 		host := normalizeHost(r.Host)
 		t.hosts[host] = append(t.hosts[host], r)
+		t.indexResumable(r)
 	}
 	t.services = map[hbs.ServiceName]*Service{}
 	for i := range t.Services {
@@ -167,6 +171,19 @@
 	return nil
 }
 
+func (t *Table) indexResumable(r *Route) {
+	if !r.Stream || !r.Resumable {
+		return
+	}
+	for _, s := range r.Split {
+		t.resumable[s.Service] = max(t.resumable[s.Service], r.Timeout)
+	}
+}
+
+// Resumable returns the services with streams that callers may resume, and the longest
+// timeout of their routes, 0 if they have none. It must not be changed.
+func (t *Table) Resumable() map[hbs.ServiceName]time.Duration { return t.resumable }
+
 func (r *Route) validate() error {
 	switch {
 	case !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/"):
