release: streams are stored only until all instances know the shares

Callers saw: after each release, first events of resumable streams up to 0.3 s late for about 13 s (the longest timeout of their routes and some more), since each was stored before it was passed on.

Cause: a record stayed open until all streams of earlier shares had ended.

Change: the write by which an instance tells that it knows a record also has all streams that it began or placed before. Once all have written that, the record is known: earlier streams are stored, and one that isn't follows the shares. An instance that starts tells that streams of its earlier lifetime may be missing; then the record stays open as before. A read of the store no longer serves resumed streams that come after it has begun.

TestUnknownStream looked at a stream that nobody began at a moment when the record is now known, and is resumed by the shares; it looks while that can't be told, as before.

The new specs fail without the change.

--- a/release/keeper.go
+++ b/release/keeper.go
@@ -17,8 +17,10 @@
 	// switchWait is how long a new stream waits for the next record when its version has
 	// no endpoints left.
 	switchWait = 500 * time.Millisecond
-	// readTimeout bounds the reads for a resumed stream.
+	// readTimeout bounds the reads for a resumed stream, readDelay is how long they wait
+	// for others to join.
 	readTimeout = 800 * time.Millisecond
+	readDelay   = 20 * time.Millisecond
 )
 
 // Keeper implements hornbeamstage.StreamKeeper. Its exported fields must be set before Run.
@@ -47,8 +49,10 @@
 	// seen is the newest revision of a record that the watch brought.
 	seen hbs.Revision
 	// streams has the versions of the streams that this instance, also in an earlier
-	// lifetime, began or resumed.
+	// lifetime, began, resumed or may begin.
 	streams map[hbs.RequestID]stream
+	// lossyUntil is when the last stream can be resumed that streams had no room for.
+	lossyUntil time.Time
 	// roster is the one that slotsIn was counted in.
 	roster  *hbs.Roster
 	slotsIn map[hbs.ServiceName]versionSlots
@@ -118,8 +122,12 @@
 
 // newVersion returns the version at which a new stream begins, by slots if there is no
 // record, and whether it has endpoints.
+//
+// The stream is added at once: it is stored with the next record that this instance knows,
+// even if it begins only after that.
 func (k *Keeper) newVersion(req *hbs.Request) (v hbs.SoftwareVersion, ok bool) {
 	slots := k.slots(req.Service)
+	until := k.resumableUntil(req.Service)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if st := k.states[req.Service]; st != nil {
@@ -128,7 +136,11 @@
 	if v == "" {
 		v = slots.shares().of(req.ID)
 	}
-	return v, slots[v] > 0
+	if slots[v] == 0 {
+		return v, false
+	}
+	k.keep(req.ID, stream{v, until})
+	return v, true
 }
 
 func (k *Keeper) recordChanged() <-chan struct{} {
@@ -175,10 +187,10 @@
 	case err != nil:
 		k.Log.Info("record not read for a resumed stream", zap.String("service", string(service)), zap.Error(err))
 		return "", sourceNone
-	case !found.open:
-		return found.shares.settled(id), sourceRecord
 	case found.streams[id] != "":
 		return found.streams[id], sourceStored
+	case found.phase != phaseOpen:
+		return found.shares.settled(id), sourceRecord
 	}
 	return "", sourceNone
 }
@@ -196,27 +208,40 @@
 	if id == "" {
 		return
 	}
-	if open, ticket := k.addStream(req.Service, id, v); open {
+	if unstored, ticket := k.addStream(req.Service, id, v); unstored {
 		k.store.await(ctx, ticket)
 	}
 }
 
-// addStream adds a stream. If the service's record is open, ticket is the number of the
-// write that stores it.
-func (k *Keeper) addStream(service hbs.ServiceName, id hbs.RequestID, v hbs.SoftwareVersion) (open bool, ticket uint64) {
-	until := time.Now().Add(k.ResumeTimes()[service])
+// addStream adds a stream. If it has to be stored, ticket is the number of the write that
+// does so.
+func (k *Keeper) addStream(service hbs.ServiceName, id hbs.RequestID, v hbs.SoftwareVersion) (unstored bool, ticket uint64) {
+	until := k.resumableUntil(service)
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.keep(id, stream{v, until})
+	st := k.states[service]
+	if st.phase(k.Restores()) != phaseOpen && st.Shares.of(id) == v {
+		return false, 0
+	}
+	return true, k.store.request()
+}
+
+// resumableUntil returns until when a stream that begins now can be resumed.
+func (k *Keeper) resumableUntil(service hbs.ServiceName) time.Time {
+	return time.Now().Add(k.ResumeTimes()[service])
+}
+
+// keep adds a stream if there is room. The caller holds mu.
+func (k *Keeper) keep(id hbs.RequestID, s stream) {
 	if len(k.streams) >= maxStreams {
 		k.expireStreams(time.Now())
 	}
-	if len(k.streams) < maxStreams {
-		k.streams[id] = stream{v, until}
-	}
-	if !k.states[service].isOpen(k.Restores()) {
-		return false, 0
+	if len(k.streams) >= maxStreams {
+		k.lossyUntil = s.until
+		return
 	}
-	return true, k.store.request()
+	k.streams[id] = s
 }
 
 // expireStreams removes the streams that can't be resumed any more. The caller holds mu.
--- a/release/maintain.go
+++ b/release/maintain.go
@@ -40,39 +40,50 @@
 // PutRecord stores a record that was read.
 func (k *Keeper) PutRecord(obj *hbs.Object) {
 	k.init()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.putRecord(obj)
+	k.recordsSeen(obj.Revision)
+}
+
+// putRecord stores a record. The caller holds mu.
+func (k *Keeper) putRecord(obj *hbs.Object) {
 	r, err := decodeRecord(obj)
 	if err != nil {
 		k.Log.Warn("record not read", zap.Error(err))
-		r = record{Open: true}
+		r = record{Phase: phaseOpen}
 	}
 	service := hbs.ServiceName(obj.Name)
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.seen = max(k.seen, obj.Revision)
 	if st := k.states[service]; st != nil && st.revision == obj.Revision {
 		return
 	}
 	k.states[service] = &state{record: r, revision: obj.Revision, readAt: time.Now()}
-	k.changed.Send()
-	if r.Open {
+	if r.Phase == phaseOpen {
 		k.store.request()
 	}
-	k.Log.Info("record of software versions read", zap.String("service", obj.Name), zap.Any("shares", r.Shares), zap.Bool("open", r.Open),
+	k.Log.Info("record of software versions read", zap.String("service", obj.Name), zap.Any("shares", r.Shares), zap.String("phase", string(r.Phase)),
 		zap.Uint64("revision", uint64(obj.Revision)))
 }
 
+// recordsSeen tells that all records up to a revision were stored. The caller holds mu.
+func (k *Keeper) recordsSeen(rev hbs.Revision) {
+	k.seen = max(k.seen, rev)
+	k.changed.Send()
+}
+
 // ReplaceRecords stores a complete listing of the records.
 func (k *Keeper) ReplaceRecords(objs []hbs.Object) {
 	k.init()
-	listed := map[hbs.ServiceName]bool{}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	listed, newest := map[hbs.ServiceName]bool{}, k.seen
 	for i := range objs {
 		listed[hbs.ServiceName(objs[i].Name)] = true
-		k.PutRecord(&objs[i])
+		newest = max(newest, objs[i].Revision)
+		k.putRecord(&objs[i])
 	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
 	maps.DeleteFunc(k.states, func(service hbs.ServiceName, _ *state) bool { return !listed[service] })
-	k.changed.Send()
+	k.recordsSeen(newest)
 }
 
 // RemoveRecord drops a record that was deleted.
@@ -80,9 +91,8 @@
 	k.init()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.seen = max(k.seen, obj.Revision)
 	delete(k.states, hbs.ServiceName(obj.Name))
-	k.changed.Send()
+	k.recordsSeen(obj.Revision)
 }
 
 // maintain writes the records when they are due, until ctx ends.
@@ -144,7 +154,7 @@
 // nextRecord returns the record that opens after st, if there has to be one, and how long
 // that must have been so before it is written (rules 2 and 6).
 func (k *Keeper) nextRecord(st *state, slots versionSlots) (next record, after time.Duration, ok bool) {
-	next = record{Shares: slots.shares(), Open: true, Restores: k.Restores()}
+	next = record{Shares: slots.shares(), Phase: phaseOpen, Restores: k.Restores()}
 	switch {
 	case st == nil || len(st.Shares) == 0 || slots.lacks(st.Shares):
 		return next, 0, true
@@ -155,63 +165,98 @@
 	return next, steadyTime, slots.skewed(st.Shares)
 }
 
-// settle settles an open record once that is due (rule 4), and returns the time until it
-// has to be called again.
+// settle moves a record to its next phase once that is due (rule 4), and returns the time
+// until it has to be called again.
 func (k *Keeper) settle(ctx context.Context, service hbs.ServiceName, st *state) time.Duration {
-	if !st.Open {
-		return idleInterval
+	wait, next := idleInterval, record{Shares: st.Shares, Phase: phaseSettled, Restores: st.Restores}
+	turn, resumable := 4*k.turn(service), k.ResumeTimes()[service]
+	switch st.Phase {
+	case phaseKnown:
+		wait = turn + resumable - time.Since(st.readAt)
+	case phaseOpen:
+		wait = turn + confirmInterval - time.Since(st.readAt)
+		if wait > 0 {
+			break
+		}
+		if !st.confirmedAt.IsZero() {
+			wait = resumable - time.Since(st.confirmedAt)
+			break
+		}
+		known, lossless := k.confirm(ctx, st)
+		if !known || !lossless {
+			return confirmInterval
+		}
+		next.Phase = phaseKnown
 	}
-	if wait := confirmInterval + 4*k.turn(service) - time.Since(st.readAt); wait > 0 {
+	if wait > 0 {
 		return wait
 	}
-	if st.confirmedAt.IsZero() && !k.confirm(ctx, st) {
-		return confirmInterval
+	k.write(ctx, service, st, next)
+	if next.Phase == phaseSettled {
+		k.deleteAbandoned(ctx)
 	}
-	if wait := k.ResumeTimes()[service] - time.Since(st.confirmedAt); wait > 0 {
-		return wait
+	return confirmInterval
+}
+
+// confirm reports whether all other instances know a record, records when they first did,
+// and reports whether all streams that began by earlier shares are stored.
+func (k *Keeper) confirm(ctx context.Context, st *state) (known, lossless bool) {
+	silent, objs, ok := k.instances(ctx)
+	if !ok {
+		return false, false
 	}
-	k.write(ctx, service, st, record{Shares: st.Shares, Restores: st.Restores})
-	for _, o := range st.abandoned {
-		err := k.Platform.Delete(ctx, KindStreams, o.Name, o.Revision)
-		k.Log.Info("attempted to delete streams of an instance that is gone", zap.String("instance", o.Name), zap.Error(err))
+	lossless = true
+	for i := range objs {
+		s, err := decodeStreams(&objs[i])
+		if err != nil || s.Seen < st.revision {
+			lossless = false
+			continue
+		}
+		lossless = lossless && !s.Lossy
+		delete(silent, objs[i].Name)
 	}
-	return confirmInterval
+	if len(silent) > 0 && time.Since(st.readAt) < maxSilence {
+		return false, false
+	}
+	if len(silent) > 0 {
+		k.Log.Warn("instances not known to have read a record", zap.Strings("instances", slices.Sorted(maps.Keys(silent))), zap.Duration("waited", time.Since(st.readAt)))
+	}
+	st.confirmedAt = time.Now()
+	return true, lossless && len(silent) == 0
 }
 
-// confirm reports whether all other instances know a record, and records when they first
-// did and which other instances have stored streams.
-func (k *Keeper) confirm(ctx context.Context, st *state) bool {
+// instances returns the names of all instances and what instances have stored, also those
+// that are gone. ok is false if either isn't known.
+func (k *Keeper) instances(ctx context.Context) (names map[string]bool, objs []hbs.Object, ok bool) {
 	others, ok := k.Others()
 	if !ok {
-		return false
+		return nil, nil, false
 	}
 	objs, _, err := k.Platform.List(ctx, KindStreams)
 	if err != nil {
 		k.Log.Debug("instances that know a record not read", zap.Error(err))
-		return false
+		return nil, nil, false
 	}
-	silent := map[string]bool{string(k.Self): true}
+	names = map[string]bool{string(k.Self): true}
 	for _, id := range others {
-		silent[string(id)] = true
+		names[string(id)] = true
 	}
-	st.abandoned = nil
-	for i := range objs {
-		if !silent[objs[i].Name] {
-			st.abandoned = append(st.abandoned, objs[i])
+	return names, objs, true
+}
+
+// deleteAbandoned deletes what instances had stored that are gone.
+func (k *Keeper) deleteAbandoned(ctx context.Context) {
+	names, objs, ok := k.instances(ctx)
+	if !ok {
+		return
+	}
+	for _, o := range objs {
+		if names[o.Name] {
 			continue
 		}
-		if s, err := decodeStreams(&objs[i]); err == nil && s.Seen >= st.revision {
-			delete(silent, objs[i].Name)
-		}
-	}
-	if len(silent) > 0 && time.Since(st.readAt) < maxSilence {
-		return false
-	}
-	if len(silent) > 0 {
-		k.Log.Warn("instances not known to have read a record", zap.Strings("instances", slices.Sorted(maps.Keys(silent))), zap.Duration("waited", time.Since(st.readAt)))
+		err := k.Platform.Delete(ctx, KindStreams, o.Name, o.Revision)
+		k.Log.Info("attempted to delete streams of an instance that is gone", zap.String("instance", o.Name), zap.Error(err))
 	}
-	st.confirmedAt = time.Now()
-	return true
 }
 
 // write replaces the record of a service, whose last known state is st. The new one arrives
@@ -231,5 +276,5 @@
 	_, err = put(ctx, obj)
 	k.count(meterRecords)
 	k.Log.Info("record of software versions written", zap.String("service", string(service)), zap.Any("from", from),
-		zap.Any("shares", next.Shares), zap.Bool("open", next.Open), zap.Error(err))
+		zap.Any("shares", next.Shares), zap.String("phase", string(next.Phase)), zap.Error(err))
 }
--- a/release/release.go
+++ b/release/release.go
@@ -17,14 +17,18 @@
 //     be resumed.
 //  3. While a record is open, each instance stores the versions of the streams that it has
 //     begun, in one object of its own, and before the first event of each further one is
-//     passed on. The object also tells which records its instance knows.
-//  4. An open record is settled once the time in which a stream may be resumed has passed
-//     since all other instances were seen to know the record. Those that don't tell are
+//     passed on. The object also tells which records its instance knows, and whether it may
+//     lack streams of an earlier lifetime that can still be resumed.
+//  4. An open record becomes known once all instances were seen to know it and to lack no
+//     streams: those of earlier shares are stored then, and only the others that don't
+//     follow the shares have to be. A known record is settled once the time in which a
+//     stream may be resumed has passed; an open one that can't become known once that time
+//     has passed since all other instances were seen to know it. Those that don't tell are
 //     waited for no longer than maxSilence.
 //  5. A resumed stream goes on at the version that is stored for it; without one, at that of
-//     its share if the record is settled. Else it is refused at once, like one whose
-//     version has no endpoints any more. The record is read from the store for this; a
-//     stream is refused too if that fails, since this instance may have missed a change.
+//     its share if the record is known or settled. Else it is refused at once, like one
+//     whose version has no endpoints any more. The record is read from the store for this;
+//     a stream is refused too if that fails, since this instance may have missed a change.
 //  6. A record that is missing, can't be decoded or was written before the store was
 //     restored from a copy counts as open.
 //  7. An instance keeps what its earlier lifetime stored.
@@ -59,12 +63,23 @@
 	maxStreams = 8192
 )
 
+// phase tells which streams began by the shares of a record (rule 4).
+type phase string
+
+const (
+	// phaseOpen: streams of earlier shares, which may be lost, can be resumed.
+	phaseOpen phase = "open"
+	// phaseKnown: streams of earlier shares can be resumed, and all are stored.
+	phaseKnown phase = "known"
+	// phaseSettled: all streams that can be resumed follow the shares.
+	phaseSettled phase = "settled"
+)
+
 // record is the value of an object of KindRecord.
 type record struct {
 	// Shares has the versions at which new streams begin.
 	Shares shares `json:"shares"`
-	// Open is set while streams that began by other shares may be resumed.
-	Open bool `json:"open"`
+	Phase  phase  `json:"phase"`
 	// Restores is how many times the store had been restored when the record was written.
 	Restores uint64 `json:"restores"`
 }
@@ -74,6 +89,11 @@
 	if err := json.Unmarshal(obj.Value, &r); err != nil {
 		return record{}, err
 	}
+	switch r.Phase {
+	case phaseOpen, phaseKnown, phaseSettled:
+	default:
+		return record{}, errors.Newf("unknown phase %q", r.Phase)
+	}
 	if err := r.Shares.validate(); err != nil {
 		return record{}, err
 	}
@@ -84,6 +104,8 @@
 type instanceStreams struct {
 	// Seen is the newest revision of a record that the instance has read.
 	Seen hbs.Revision `json:"seen"`
+	// Lossy is set while streams that can be resumed may be missing.
+	Lossy bool `json:"lossy,omitempty"`
 	// Streams has the versions of streams, by the attempt that brought the first event.
 	Streams map[hbs.RequestID]hbs.SoftwareVersion `json:"streams,omitempty"`
 }
@@ -105,13 +127,14 @@
 	// confirmedAt is when all other instances were first seen to know the record (rule
 	// 4); zero before that.
 	confirmedAt time.Time
-	// abandoned has what instances that are not known any more had stored then.
-	abandoned []hbs.Object
 }
 
-// isOpen reports whether the record is open for a store that was restored so many times.
-func (s *state) isOpen(restores uint64) bool {
-	return s == nil || s.Open || s.Restores != restores
+// phase returns the record's phase for a store that was restored so many times (rule 6).
+func (s *state) phase(restores uint64) phase {
+	if s == nil || s.Restores != restores {
+		return phaseOpen
+	}
+	return s.Phase
 }
 
 var _ hbs.StreamKeeper = (*Keeper)(nil)
--- a/release/store.go
+++ b/release/store.go
@@ -44,6 +44,11 @@
 	// once it was read.
 	object hbs.Object
 	loaded bool
+	// earlier is the newest record that an earlier lifetime of the instance had told to
+	// know, earlierUntil when the last stream of that lifetime can be resumed; zero if
+	// there was none.
+	earlier      hbs.Revision
+	earlierUntil time.Time
 }
 
 // request asks for a write and returns its number.
@@ -106,6 +111,7 @@
 // storeStreams writes this instance's streams when asked for, until ctx ends.
 func (k *Keeper) storeStreams(ctx context.Context) error {
 	s := &k.store
+	s.request()
 	for {
 		select {
 		case <-ctx.Done():
@@ -182,10 +188,13 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for id, v := range stored.Streams {
-		if _, ok := k.streams[id]; !ok && len(k.streams) < maxStreams {
-			k.streams[id] = stream{v, until}
+		if _, ok := k.streams[id]; !ok {
+			k.keep(id, stream{v, until})
 		}
 	}
+	if k.store.earlierUntil.IsZero() {
+		k.store.earlier, k.store.earlierUntil = stored.Seen, until
+	}
 }
 
 func (k *Keeper) longestResumeTime() (longest time.Duration) {
@@ -199,8 +208,10 @@
 func (k *Keeper) instanceStreams() instanceStreams {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.expireStreams(time.Now())
+	now := time.Now()
+	k.expireStreams(now)
 	s := instanceStreams{Seen: k.seen, Streams: map[hbs.RequestID]hbs.SoftwareVersion{}}
+	s.Lossy = now.Before(k.lossyUntil) || k.seen > k.store.earlier && now.Before(k.store.earlierUntil)
 	for id, st := range k.streams {
 		s.Streams[id] = st.version
 	}
@@ -210,16 +221,21 @@
 // found is what the store tells about the streams of a service.
 type found struct {
 	shares shares
-	open   bool
-	// streams has the versions of the streams that are stored; only for an open record.
+	phase  phase
+	// streams has the versions of the streams that are stored; empty for a settled record.
 	streams map[hbs.RequestID]hbs.SoftwareVersion
 }
 
-// readShared is read, done once for all streams that are resumed at the same time.
+// readShared is read, done once for all streams that are resumed at the same time. A read
+// that has begun tells nothing of a stream that breaks only after that.
 func (k *Keeper) readShared(ctx context.Context, service hbs.ServiceName) (found, error) {
 	result := k.reads.DoChan(string(service), func() (any, error) {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), readTimeout)
 		defer cancel()
+		if err := delay.For(ctx, readDelay); err != nil {
+			return found{}, err
+		}
+		k.reads.Forget(string(service))
 		return k.read(ctx, service)
 	})
 	select {
@@ -237,13 +253,13 @@
 	if err != nil && !errors.Is(err, hbs.ErrNotFound) {
 		return found{}, err
 	}
-	f.open = true
+	f.phase = phaseOpen
 	if err == nil {
-		if r, err := decodeRecord(&obj); err == nil {
-			f.shares, f.open = r.Shares, r.Open || r.Restores != obj.Revision.Restores()
+		if r, err := decodeRecord(&obj); err == nil && r.Restores == obj.Revision.Restores() {
+			f.shares, f.phase = r.Shares, r.Phase
 		}
 	}
-	if !f.open {
+	if f.phase == phaseSettled {
 		return f, nil
 	}
 	objs, _, err := k.Platform.List(ctx, KindStreams)
