release: requests with the same prompt begin at one software version

Callers saw: with two versions side by side, late first events.

Cause: the hash that divides streams between versions was of their IDs, so that requests with the same prompt began at both, each with a cache of its own.

Change: the hash is of the parts of the prompt that other requests share; the ID decides where there are none. A caller that resumes a stream repeats its request, so that any instance can still tell the version.

The spec fails without the change.

--- a/release/keeper.go
+++ b/release/keeper.go
@@ -131,10 +131,10 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if st := k.states[req.Service]; st != nil {
-		v = st.Shares.of(req.ID)
+		v = st.Shares.of(streamKey(req))
 	}
 	if v == "" {
-		v = slots.shares().of(req.ID)
+		v = slots.shares().of(streamKey(req))
 	}
 	if slots[v] == 0 {
 		return v, false
@@ -151,13 +151,12 @@
 
 // versionOf returns the version at which a resumed stream goes on (rule 5).
 func (k *Keeper) versionOf(ctx context.Context, req *hbs.Request) (hbs.SoftwareVersion, error) {
-	id := req.Resumes.Attempt
-	v, source := k.ownStream(id), sourceOwn
+	v, source := k.ownStream(req.Resumes.Attempt), sourceOwn
 	if v == "" {
-		v, source = k.findVersion(ctx, req.Service, id)
+		v, source = k.findVersion(ctx, req)
 	}
 	slots := k.slots(req.Service)
-	k.Log.Info("stream resumed", zap.String("request", string(req.ID)), zap.String("resumes", string(id)), zap.String("after", req.Resumes.After),
+	k.Log.Info("stream resumed", zap.String("request", string(req.ID)), zap.String("resumes", string(req.Resumes.Attempt)), zap.String("after", req.Resumes.After),
 		zap.String("service", string(req.Service)), zap.String("version", string(v)), zap.String("source", string(source)), zap.Int("slots", slots[v]))
 	k.count(meterResumedPrefix + string(source))
 	switch {
@@ -179,18 +178,19 @@
 
 // findVersion returns the version of a stream that this instance doesn't know, "" if nothing
 // tells.
-func (k *Keeper) findVersion(ctx context.Context, service hbs.ServiceName, id hbs.RequestID) (hbs.SoftwareVersion, source) {
+func (k *Keeper) findVersion(ctx context.Context, req *hbs.Request) (hbs.SoftwareVersion, source) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	found, err := k.readShared(ctx, service)
+	id := req.Resumes.Attempt
+	found, err := k.readShared(ctx, req.Service)
 	switch {
 	case err != nil:
-		k.Log.Info("record not read for a resumed stream", zap.String("service", string(service)), zap.Error(err))
+		k.Log.Info("record not read for a resumed stream", zap.String("service", string(req.Service)), zap.Error(err))
 		return "", sourceNone
 	case found.streams[id] != "":
 		return found.streams[id], sourceStored
-	case found.phase != phaseOpen:
-		return found.shares.settled(id), sourceRecord
+	case found.phase == phaseSettled || found.phase == phaseKnown && id != "":
+		return found.shares.settled(streamKey(req)), sourceRecord
 	}
 	return "", sourceNone
 }
@@ -201,27 +201,23 @@
 	if !req.Resumable || v == "" {
 		return
 	}
-	id := req.ID
-	if req.Resumes != nil {
-		id = req.Resumes.Attempt
-	}
-	if id == "" {
+	if streamID(req) == "" {
 		return
 	}
-	if unstored, ticket := k.addStream(req.Service, id, v); unstored {
+	if unstored, ticket := k.addStream(req, v); unstored {
 		k.store.await(ctx, ticket)
 	}
 }
 
 // addStream adds a stream. If it has to be stored, ticket is the number of the write that
 // does so.
-func (k *Keeper) addStream(service hbs.ServiceName, id hbs.RequestID, v hbs.SoftwareVersion) (unstored bool, ticket uint64) {
-	until := k.resumableUntil(service)
+func (k *Keeper) addStream(req *hbs.Request, v hbs.SoftwareVersion) (unstored bool, ticket uint64) {
+	until := k.resumableUntil(req.Service)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.keep(id, stream{v, until})
-	st := k.states[service]
-	if st.phase(k.Restores()) != phaseOpen && st.Shares.of(id) == v {
+	k.keep(streamID(req), stream{v, until})
+	st := k.states[req.Service]
+	if st.phase(k.Restores()) != phaseOpen && st.Shares.of(streamKey(req)) == v {
 		return false, 0
 	}
 	return true, k.store.request()
--- a/release/release.go
+++ b/release/release.go
@@ -9,8 +9,9 @@
 // Rules:
 //
 //  1. A record in the platform's store says, for each service, which versions have a share
-//     of the new streams. A hash of the ID with which a stream begins decides between
-//     them. Streams that can't be resumed go anywhere.
+//     of the new streams. A hash decides between them, of the parts of the prompt that
+//     other requests share or, where there are none, of the ID with which the stream
+//     begins. Streams that can't be resumed go anywhere.
 //  2. The shares follow the slots of the versions, and change only when a version with a
 //     share has no endpoints left, or when for steadyTime they have differed by more than
 //     maxSkew. Each change opens the record: streams that began by other shares may still
--- a/release/release_test.go
+++ b/release/release_test.go
@@ -167,6 +167,27 @@
 	})
 }
 
+// Guards against prompts that are computed at two versions, since requests with the same
+// parts begin at both.
+func TestSamePartsBeginAtOneVersion(t *testing.T) {
+	withWorld(t, 5, func(w *world) {
+		w.setEndpoints(versions{"a": 3, "b": 3})
+		time.Sleep(settleTime)
+		versionOf := map[hbs.PartID]hbs.SoftwareVersion{}
+		for _, s := range w.beginAt(200, w.nodes...) {
+			if len(s.parts) == 0 {
+				continue
+			}
+			part := s.parts[len(s.parts)-1]
+			if v, ok := versionOf[part]; ok {
+				w.Expect(s.version).To(Equal(v))
+			}
+			versionOf[part] = s.version
+		}
+		w.Expect(versionOf).To(HaveLen(15))
+	})
+}
+
 // Guards against a second release during which streams go on beginning by the shares of the
 // first one until its record is settled.
 func TestSharesFollowWhileTheRecordIsOpen(t *testing.T) {
--- a/release/share.go
+++ b/release/share.go
@@ -27,10 +27,35 @@
 	Weight int `json:"weight"`
 }
 
-// shares divides new streams between versions by a hash of the ID with which they begin. No
-// version occurs twice.
+// shares divides new streams between versions by a hash of their keys. No version occurs
+// twice.
 type shares []share
 
+// streamKey returns the key of the stream that req begins or resumes: the parts of its
+// prompt that other requests share, so that they are cached at endpoints of one version, or
+// the ID with which it began where there are none. A caller that resumes a stream repeats
+// its request. The key is empty if that ID isn't known.
+func streamKey(req *hbs.Request) string {
+	if len(req.Parts) == 0 {
+		return string(streamID(req))
+	}
+	var key strings.Builder
+	for _, p := range req.Parts {
+		key.WriteString(string(p))
+		key.WriteByte(',')
+	}
+	return key.String()
+}
+
+// streamID returns the ID of the attempt that began the stream of req, empty if the caller
+// that resumes it doesn't tell.
+func streamID(req *hbs.Request) hbs.RequestID {
+	if req.Resumes != nil {
+		return req.Resumes.Attempt
+	}
+	return req.ID
+}
+
 func (s shares) validate() error {
 	seen := map[hbs.SoftwareVersion]bool{}
 	for _, p := range s {
@@ -45,8 +70,8 @@
 	return nil
 }
 
-// of returns the version of the stream that begins with an ID, "" if there are no shares.
-func (s shares) of(id hbs.RequestID) hbs.SoftwareVersion {
+// of returns the version of the stream with a key, "" if there are no shares.
+func (s shares) of(key string) hbs.SoftwareVersion {
 	total := 0
 	for _, p := range s {
 		total += p.Weight
@@ -54,7 +79,7 @@
 	if total == 0 {
 		return ""
 	}
-	n := int(xxhash.Sum64String(string(id)) % uint64(total))
+	n := int(xxhash.Sum64String(key) % uint64(total))
 	for _, p := range s {
 		if n -= p.Weight; n < 0 {
 			return p.Version
@@ -64,12 +89,12 @@
 }
 
 // settled returns the version of a stream that can only have begun by these shares, "" if
-// the ID with which it began isn't known and more than one version has a share.
-func (s shares) settled(id hbs.RequestID) hbs.SoftwareVersion {
-	if id == "" && len(s) > 1 {
+// its key is empty and more than one version has a share.
+func (s shares) settled(key string) hbs.SoftwareVersion {
+	if key == "" && len(s) > 1 {
 		return ""
 	}
-	return s.of(id)
+	return s.of(key)
 }
 
 // weight returns the weight of a version, 0 if it has no share.
--- a/release/world_test.go
+++ b/release/world_test.go
@@ -84,6 +84,8 @@
 	id      hbs.RequestID
 	version hbs.SoftwareVersion
 	began   time.Time
+	// parts are those of its prompt.
+	parts []hbs.PartID
 }
 
 // world is a set of instances, a store and the endpoints of one service.
@@ -233,7 +235,10 @@
 func (w *world) begin(n *node) (s stream, ok bool) {
 	w.streams++
 	s = stream{id: hbs.RequestID(fmt.Sprintf("s%d", w.streams)), began: time.Now()}
-	req := &hbs.Request{ID: s.id, Service: service, Resumable: true}
+	if part := w.streams % 20; part < 15 {
+		s.parts = []hbs.PartID{"root", hbs.PartID(fmt.Sprintf("p%d", part))}
+	}
+	req := &hbs.Request{ID: s.id, Service: service, Resumable: true, Parts: s.parts}
 	v, err := n.keeper.Version(n.ctx, req)
 	if err != nil || w.known(n, v) == 0 {
 		return s, false
@@ -255,7 +260,7 @@
 
 // resume resumes a stream at an instance.
 func (w *world) resume(n *node, s stream) {
-	req := &hbs.Request{ID: s.id + "'", Service: service, Resumable: true, Resumes: &hbs.Resumption{Attempt: s.id, After: "3"}}
+	req := &hbs.Request{ID: s.id + "'", Service: service, Resumable: true, Parts: s.parts, Resumes: &hbs.Resumption{Attempt: s.id, After: "3"}}
 	v, err := n.keeper.Version(n.ctx, req)
 	switch {
 	case n.ctx.Err() != nil:
