release, dispatch: streams begin anywhere while software versions change

Cause: while engines were replaced one by one, new streams kept to the shares of the versions of some seconds before: first all to the engines that left, then half of all prompts at once to engines that had none of them cached. Their prefills took so long that callers gave up and came again.

Change: a record first becomes free. Streams then begin at any version, as their placement finds best, and are stored. Once the slots stand still for two seconds it opens with their shares. A stream is stored from its placement on, beside the engine's work on the prompt, and not only when its first event is there. The hash is divided by ranges, so that few prompts move when shares change little.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -252,10 +252,13 @@
 	}
 }
 
-// begin returns the function that is called before the first event of the attempt at p is
-// passed on.
+// begin tells that an attempt is placed at p, and returns the function that is called
+// before its first event is passed on.
 func (s *requestState) begin(p *hbs.Placement) func(context.Context) {
 	req, v := s.req, p.Endpoint.Software
+	if s.Streams != nil {
+		s.Streams.Placed(req, v)
+	}
 	return func(ctx context.Context) {
 		s.began = v
 		if s.Streams != nil {
--- a/release/keeper.go
+++ b/release/keeper.go
@@ -64,6 +64,8 @@
 type stream struct {
 	version hbs.SoftwareVersion
 	until   time.Time
+	// ticket is the number of the write that stores the stream; zero if none was asked for.
+	ticket uint64
 }
 
 func (k *Keeper) init() {
@@ -86,6 +88,16 @@
 	return k.awaitVersion(ctx, req), nil
 }
 
+// Placed implements hornbeamstage.StreamKeeper. The stream is stored with the next record
+// that this instance knows, even if it begins only after that.
+func (k *Keeper) Placed(req *hbs.Request, v hbs.SoftwareVersion) {
+	k.init()
+	if !req.Resumable || v == "" || streamID(req) == "" {
+		return
+	}
+	k.addStream(req, v)
+}
+
 // slots returns the slots of a service's endpoints. The result must not be changed.
 func (k *Keeper) slots(service hbs.ServiceName) versionSlots {
 	r := k.Directory.Roster()
@@ -120,27 +132,18 @@
 	}
 }
 
-// newVersion returns the version at which a new stream begins, by slots if there is no
-// record, and whether it has endpoints.
-//
-// The stream is added at once: it is stored with the next record that this instance knows,
-// even if it begins only after that.
+// newVersion returns the version at which a new stream begins, "" if that may be any, and
+// whether it has endpoints.
 func (k *Keeper) newVersion(req *hbs.Request) (v hbs.SoftwareVersion, ok bool) {
 	slots := k.slots(req.Service)
-	until := k.resumableUntil(req.Service)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if st := k.states[req.Service]; st != nil {
-		v = st.Shares.of(streamKey(req))
-	}
-	if v == "" {
-		v = slots.shares().of(streamKey(req))
-	}
-	if slots[v] == 0 {
-		return v, false
+	st := k.states[req.Service]
+	if st.phase(k.Restores()) == phaseFree {
+		return "", true
 	}
-	k.keep(req.ID, stream{v, until})
-	return v, true
+	v = st.Shares.of(streamKey(req))
+	return v, slots[v] > 0
 }
 
 func (k *Keeper) recordChanged() <-chan struct{} {
@@ -204,23 +207,30 @@
 	if streamID(req) == "" {
 		return
 	}
-	if unstored, ticket := k.addStream(req, v); unstored {
+	if ticket := k.addStream(req, v); ticket > 0 {
 		k.store.await(ctx, ticket)
 	}
 }
 
-// addStream adds a stream. If it has to be stored, ticket is the number of the write that
-// does so.
-func (k *Keeper) addStream(req *hbs.Request, v hbs.SoftwareVersion) (unstored bool, ticket uint64) {
-	until := k.resumableUntil(req.Service)
+// addStream adds a stream and returns the number of the write that stores it, 0 if it
+// doesn't have to be stored.
+func (k *Keeper) addStream(req *hbs.Request, v hbs.SoftwareVersion) (ticket uint64) {
+	id, until := streamID(req), k.resumableUntil(req.Service)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.keep(streamID(req), stream{v, until})
 	st := k.states[req.Service]
-	if st.phase(k.Restores()) != phaseOpen && st.Shares.of(streamKey(req)) == v {
-		return false, 0
+	if !st.phase(k.Restores()).ambiguous() && st.Shares.of(streamKey(req)) == v {
+		k.keep(id, stream{version: v, until: until})
+		return 0
+	}
+	if s := k.streams[id]; s.version == v {
+		ticket = s.ticket
+	}
+	if ticket == 0 {
+		ticket = k.store.request()
 	}
-	return true, k.store.request()
+	k.keep(id, stream{v, until, ticket})
+	return ticket
 }
 
 // resumableUntil returns until when a stream that begins now can be resumed.
--- a/release/maintain.go
+++ b/release/maintain.go
@@ -51,14 +51,14 @@
 	r, err := decodeRecord(obj)
 	if err != nil {
 		k.Log.Warn("record not read", zap.Error(err))
-		r = record{Phase: phaseOpen}
+		r = record{Phase: phaseFree}
 	}
 	service := hbs.ServiceName(obj.Name)
 	if st := k.states[service]; st != nil && st.revision == obj.Revision {
 		return
 	}
 	k.states[service] = &state{record: r, revision: obj.Revision, readAt: time.Now()}
-	if r.Phase == phaseOpen {
+	if r.Phase.ambiguous() {
 		k.store.request()
 	}
 	k.Log.Info("record of software versions read", zap.String("service", obj.Name), zap.Any("shares", r.Shares), zap.String("phase", string(r.Phase)),
@@ -97,8 +97,7 @@
 
 // maintain writes the records when they are due, until ctx ends.
 func (k *Keeper) maintain(ctx context.Context) error {
-	// due has when the next record of each service became due.
-	due := map[hbs.ServiceName]time.Time{}
+	due := map[hbs.ServiceName]dueRecord{}
 	for {
 		rosterChanged, recordChanged := k.Directory.Changed(), k.recordChanged()
 		next := idleInterval
@@ -118,9 +117,15 @@
 	}
 }
 
+// dueRecord is a record that has to be written.
+type dueRecord struct {
+	record
+	since time.Time
+}
+
 // maintainRecord writes the record of a service if it is due and this instance's turn. It
 // returns the time until it has to be called again.
-func (k *Keeper) maintainRecord(ctx context.Context, service hbs.ServiceName, due map[hbs.ServiceName]time.Time) time.Duration {
+func (k *Keeper) maintainRecord(ctx context.Context, service hbs.ServiceName, due map[hbs.ServiceName]dueRecord) time.Duration {
 	slots := k.slots(service)
 	if len(slots) == 0 {
 		delete(due, service)
@@ -134,10 +139,10 @@
 		delete(due, service)
 		return k.settle(ctx, service, st)
 	}
-	if due[service].IsZero() {
-		due[service] = time.Now()
+	if d, ok := due[service]; !ok || !d.equal(next) {
+		due[service] = dueRecord{next, time.Now()}
 	}
-	if wait := after + k.turn(service) - time.Since(due[service]); wait > 0 {
+	if wait := after + k.turn(service) - time.Since(due[service].since); wait > 0 {
 		return wait
 	}
 	delete(due, service)
@@ -156,13 +161,19 @@
 func (k *Keeper) nextRecord(st *state, slots versionSlots) (next record, after time.Duration, ok bool) {
 	next = record{Shares: slots.shares(), Phase: phaseOpen, Restores: k.Restores()}
 	switch {
-	case st == nil || len(st.Shares) == 0 || slots.lacks(st.Shares):
+	case st == nil || len(st.Shares) == 0:
 		return next, 0, true
 	case st.Restores != next.Restores:
 		next.Shares = st.Shares
 		return next, 0, true
+	case st.Phase == phaseFree:
+		return next, min(steadyTime, maxFreeTime-time.Since(st.readAt)), true
+	}
+	next.Shares, next.Phase = st.Shares, phaseFree
+	if slots.lacks(st.Shares) {
+		return next, 0, true
 	}
-	return next, steadyTime, slots.skewed(st.Shares)
+	return next, skewTime, slots.skewed(st.Shares)
 }
 
 // settle moves a record to its next phase once that is due (rule 4), and returns the time
--- a/release/release.go
+++ b/release/release.go
@@ -12,14 +12,15 @@
 //     of the new streams. A hash decides between them, of the parts of the prompt that
 //     other requests share or, where there are none, of the ID with which the stream
 //     begins. Streams that can't be resumed go anywhere.
-//  2. The shares follow the slots of the versions, and change only when a version with a
-//     share has no endpoints left, or when for steadyTime they have differed by more than
-//     maxSkew. Each change opens the record: streams that began by other shares may still
-//     be resumed.
-//  3. While a record is open, each instance stores the versions of the streams that it has
-//     begun, in one object of its own, and before the first event of each further one is
-//     passed on. The object also tells which records its instance knows, and whether it may
-//     lack streams of an earlier lifetime that can still be resumed.
+//  2. The shares follow the slots of the versions. When a version with a share has no
+//     endpoints left, or shares and slots have differed by more than maxSkew for skewTime,
+//     the record becomes free: streams begin at any version. Once the slots have stayed as
+//     they are for steadyTime, it opens with their shares: streams that began otherwise
+//     may still be resumed.
+//  3. While a record is free or open, each instance stores the versions of the streams that
+//     it has begun, in one object of its own, and before the first event of each further
+//     one is passed on. The object also tells which records its instance knows, and whether
+//     it may lack streams of an earlier lifetime that can still be resumed.
 //  4. An open record becomes known once all instances were seen to know it and to lack no
 //     streams: those of earlier shares are stored then, and only the others that don't
 //     follow the shares have to be. A known record is settled once the time in which a
@@ -31,7 +32,7 @@
 //     whose version has no endpoints any more. The record is read from the store for this;
 //     a stream is refused too if that fails, since this instance may have missed a change.
 //  6. A record that is missing, can't be decoded or was written before the store was
-//     restored from a copy counts as open.
+//     restored from a copy counts as free.
 //  7. An instance keeps what its earlier lifetime stored.
 //  8. Any instance may write records. They act one after the other, in rendezvous order, so
 //     that usually one of them does.
@@ -39,6 +40,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -55,8 +57,12 @@
 )
 
 const (
-	// steadyTime is how long shares differ from the slots before they are changed.
-	steadyTime = 2 * time.Second
+	// skewTime is how long shares differ from the slots before they are changed.
+	skewTime = 500 * time.Millisecond
+	// steadyTime is how long the slots of all versions stay as they are before streams
+	// begin by their shares, maxFreeTime bounds the time until that.
+	steadyTime  = 2 * time.Second
+	maxFreeTime = 20 * time.Second
 	// maxSilence is how long an instance is waited for that doesn't tell that it knows a
 	// record (rule 4). It is longer than most cuts and pauses.
 	maxSilence = 20 * time.Second
@@ -68,7 +74,9 @@
 type phase string
 
 const (
-	// phaseOpen: streams of earlier shares, which may be lost, can be resumed.
+	// phaseFree: streams begin at any version.
+	phaseFree phase = "free"
+	// phaseOpen: streams that began otherwise, which may be lost, can be resumed.
 	phaseOpen phase = "open"
 	// phaseKnown: streams of earlier shares can be resumed, and all are stored.
 	phaseKnown phase = "known"
@@ -76,6 +84,9 @@
 	phaseSettled phase = "settled"
 )
 
+// ambiguous reports whether the shares don't tell the version of a stream that isn't stored.
+func (p phase) ambiguous() bool { return p == phaseFree || p == phaseOpen }
+
 // record is the value of an object of KindRecord.
 type record struct {
 	// Shares has the versions at which new streams begin.
@@ -85,13 +96,17 @@
 	Restores uint64 `json:"restores"`
 }
 
+func (r record) equal(o record) bool {
+	return slices.Equal(r.Shares, o.Shares) && r.Phase == o.Phase && r.Restores == o.Restores
+}
+
 func decodeRecord(obj *hbs.Object) (r record, err error) {
 	defer func() { err = errors.Wrapf(err, "decode record of %q", obj.Name) }()
 	if err := json.Unmarshal(obj.Value, &r); err != nil {
 		return record{}, err
 	}
 	switch r.Phase {
-	case phaseOpen, phaseKnown, phaseSettled:
+	case phaseFree, phaseOpen, phaseKnown, phaseSettled:
 	default:
 		return record{}, errors.Newf("unknown phase %q", r.Phase)
 	}
@@ -133,7 +148,7 @@
 // phase returns the record's phase for a store that was restored so many times (rule 6).
 func (s *state) phase(restores uint64) phase {
 	if s == nil || s.Restores != restores {
-		return phaseOpen
+		return phaseFree
 	}
 	return s.Phase
 }
--- a/release/share.go
+++ b/release/share.go
@@ -70,22 +70,23 @@
 	return nil
 }
 
-// of returns the version of the stream with a key, "" if there are no shares.
+// of returns the version of the stream with a key, "" if there are no shares. Few keys
+// change their version when the shares change little.
 func (s shares) of(key string) hbs.SoftwareVersion {
 	total := 0
 	for _, p := range s {
 		total += p.Weight
 	}
-	if total == 0 {
-		return ""
-	}
-	n := int(xxhash.Sum64String(key) % uint64(total))
+	left := float64(xxhash.Sum64String(key)) / (1 << 64) * float64(total)
 	for _, p := range s {
-		if n -= p.Weight; n < 0 {
+		if left -= float64(p.Weight); left < 0 {
 			return p.Version
 		}
 	}
-	return ""
+	if len(s) == 0 {
+		return ""
+	}
+	return s[len(s)-1].Version
 }
 
 // settled returns the version of a stream that can only have begun by these shares, "" if
--- a/release/store.go
+++ b/release/store.go
@@ -45,8 +45,8 @@
 	object hbs.Object
 	loaded bool
 	// earlier is the newest record that an earlier lifetime of the instance had told to
-	// know, earlierUntil when the last stream of that lifetime can be resumed; zero if
-	// there was none.
+	// know, 0 if it told that streams may be missing. earlierUntil is when the last stream
+	// of that lifetime can be resumed; zero if there was none.
 	earlier      hbs.Revision
 	earlierUntil time.Time
 }
@@ -189,11 +189,14 @@
 	defer k.mu.Unlock()
 	for id, v := range stored.Streams {
 		if _, ok := k.streams[id]; !ok {
-			k.keep(id, stream{v, until})
+			k.keep(id, stream{version: v, until: until})
 		}
 	}
 	if k.store.earlierUntil.IsZero() {
 		k.store.earlier, k.store.earlierUntil = stored.Seen, until
+		if stored.Lossy {
+			k.store.earlier = 0
+		}
 	}
 }
 
@@ -253,7 +256,7 @@
 	if err != nil && !errors.Is(err, hbs.ErrNotFound) {
 		return found{}, err
 	}
-	f.phase = phaseOpen
+	f.phase = phaseFree
 	if err == nil {
 		if r, err := decodeRecord(&obj); err == nil && r.Restores == obj.Revision.Restores() {
 			f.shares, f.phase = r.Shares, r.Phase
--- a/request.go
+++ b/request.go
@@ -138,6 +138,8 @@
 	// Version returns the version whose endpoints may serve req, empty if any may. The
 	// error is a *Refusal of a stream that can't go on.
 	Version(ctx context.Context, req *Request) (SoftwareVersion, error)
+	// Placed is called when req is placed at an endpoint of version v.
+	Placed(req *Request, v SoftwareVersion)
 	// Begun is called before the first event that an endpoint of version v sent for req is
 	// passed on. It returns when that may be done.
 	Begun(ctx context.Context, req *Request, v SoftwareVersion)
