placement, release: streams don't begin where the software version isn't known

Callers would see: a stream that begins at an engine whose record lacks its software's version for a while, and goes on at any engine (ORDER).

Cause: while versions change, resumable streams may begin at all endpoints of the service, also at those whose version isn't known. Such a stream's version is neither kept nor stored.

Change: Version returns AnySoftware then, and the placement takes only endpoints with a version.

The spec of the placement fails when endpoints without a version are let in.

--- a/identity.go
+++ b/identity.go
@@ -19,6 +19,9 @@
 // compared only for equality.
 type SoftwareVersion string
 
+// AnySoftware stands in a Request for all versions that are known. No platform names one so.
+const AnySoftware SoftwareVersion = "any known version"
+
 // ServiceName is the name of a plain service, which is not a model engine.
 type ServiceName string
 
--- a/placement/rules_test.go
+++ b/placement/rules_test.go
@@ -1,6 +1,7 @@
 package placement_test
 
 import (
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -144,6 +145,37 @@
 		})
 	})
 
+	// Guards against streams that begin at an endpoint whose software version isn't known,
+	// and go on at any (ORDER).
+	DescribeTable("places by the version of the endpoints' software", func(want hbs.SoftwareVersion, allowed ...int) {
+		inVirtualTime(func(g Gomega) {
+			d := newDirectory(3)
+			var ids []hbs.EndpointID
+			d.edit(func(r *hbs.Roster) {
+				r.Endpoints[0].Software, r.Endpoints[1].Software = "v1", "v2"
+				for _, e := range r.Endpoints {
+					ids = append(ids, e.ID)
+				}
+			})
+			f := newPlacer(d, "a")
+			placed := map[hbs.EndpointID]bool{}
+			for key := hbs.LevelKey(1); key < 40; key++ {
+				req := request(key * 77)
+				req.Software = want
+				p := mustPlace(g, f, req)
+				complete(f, p, "1", 0)
+				placed[p.Endpoint.ID] = true
+			}
+			for i, id := range ids {
+				g.Expect(placed[id]).To(Equal(slices.Contains(allowed, i)), "endpoint %d", i)
+			}
+		})
+	},
+		Entry("one", hbs.SoftwareVersion("v1"), 0),
+		Entry("all that are known", hbs.AnySoftware, 0, 1),
+		Entry("all, also unknown ones", hbs.SoftwareVersion(""), 0, 1, 2),
+	)
+
 	It("drops beliefs that are far older than the eviction age", func() {
 		inVirtualTime(func(g Gomega) {
 			f := newPlacer(newDirectory(3), "a")
--- a/placement/usable.go
+++ b/placement/usable.go
@@ -11,7 +11,7 @@
 	if e.State != hbs.StateLive {
 		return false
 	}
-	if e.Service != req.Service || req.Software != "" && e.Software != req.Software {
+	if e.Service != req.Service || !softwareAgrees(e.Software, req.Software) {
 		return false
 	}
 	if req.Model == "" {
@@ -20,6 +20,11 @@
 	return e.Serves(req.Model, req.Adapter) && weightsAgree(e.Weights, req.Weights)
 }
 
+// softwareAgrees reports whether an endpoint that runs have may serve a request for want.
+func softwareAgrees(have, want hbs.SoftwareVersion) bool {
+	return want == "" || want == have || want == hbs.AnySoftware && have != ""
+}
+
 // weightsAgree treats an empty version as unknown and compatible. The engine
 // itself refuses a request for other weights than its own.
 func weightsAgree(have, want hbs.WeightsVersion) bool {
--- a/release/keeper.go
+++ b/release/keeper.go
@@ -92,10 +92,15 @@
 // that this instance knows, even if it begins only after that.
 func (k *Keeper) Placed(req *hbs.Request, v hbs.SoftwareVersion) {
 	k.init()
-	if !req.Resumable || v == "" || streamID(req) == "" {
-		return
+	if isKept(req, v) {
+		k.addStream(req, v)
 	}
-	k.addStream(req, v)
+}
+
+// isKept reports whether the version of the stream that req begins or resumes at v has to
+// be known later.
+func isKept(req *hbs.Request, v hbs.SoftwareVersion) bool {
+	return req.Resumable && v != "" && streamID(req) != ""
 }
 
 // slots returns the slots of a service's endpoints. The result must not be changed.
@@ -132,15 +137,15 @@
 	}
 }
 
-// newVersion returns the version at which a new stream begins, "" if that may be any, and
-// whether it has endpoints.
+// newVersion returns the version at which a new stream begins, and whether it has
+// endpoints.
 func (k *Keeper) newVersion(req *hbs.Request) (v hbs.SoftwareVersion, ok bool) {
 	slots := k.slots(req.Service)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	st := k.states[req.Service]
 	if st.phase(k.Restores()) == phaseFree {
-		return "", true
+		return hbs.AnySoftware, true
 	}
 	v = st.Shares.of(streamKey(req))
 	return v, slots[v] > 0
@@ -201,10 +206,7 @@
 // Begun implements hornbeamstage.StreamKeeper.
 func (k *Keeper) Begun(ctx context.Context, req *hbs.Request, v hbs.SoftwareVersion) {
 	k.init()
-	if !req.Resumable || v == "" {
-		return
-	}
-	if streamID(req) == "" {
+	if !isKept(req, v) {
 		return
 	}
 	if ticket := k.addStream(req, v); ticket > 0 {
--- a/release/world_test.go
+++ b/release/world_test.go
@@ -242,7 +242,7 @@
 	}
 	req := &hbs.Request{ID: s.id, Service: service, Resumable: true, Parts: s.parts}
 	v, err := n.keeper.Version(n.ctx, req)
-	if v == "" {
+	if v == hbs.AnySoftware {
 		endpoints := n.dir.Roster().Endpoints
 		v = endpoints[w.streams%len(endpoints)].Software
 	}
--- a/request.go
+++ b/request.go
@@ -98,8 +98,8 @@
 	// earlier response broke off. Resumes is set if this request does.
 	Resumable bool
 	Resumes   *Resumption
-	// Software is the only version whose endpoints may serve the request; empty if any
-	// may. The dispatcher sets it on its copy of the request.
+	// Software is the only version whose endpoints may serve the request, or AnySoftware;
+	// empty if all may. The dispatcher sets it on its copy of the request.
 	Software SoftwareVersion
 
 	// CacheScope isolates cached prefixes: on engines that receive it, requests with
@@ -135,8 +135,8 @@
 
 // StreamKeeper keeps each resumable stream at one version of the endpoints' software.
 type StreamKeeper interface {
-	// Version returns the version whose endpoints may serve req, empty if any may. The
-	// error is a *Refusal of a stream that can't go on.
+	// Version returns the version whose endpoints may serve req, or AnySoftware; empty if
+	// all may. The error is a *Refusal of a stream that can't go on.
 	Version(ctx context.Context, req *Request) (SoftwareVersion, error)
 	// Placed is called when req is placed at an endpoint of version v.
 	Placed(req *Request, v SoftwareVersion)
