--- a/gateway/software_test.go
+++ b/gateway/software_test.go
@@ -99,6 +99,17 @@
 	}
 }
 
+// expectResumedAfterKill expects that streams go on, at their version, after all instances
+// were killed.
+func (f *fleet) expectResumedAfterKill() {
+	ids := f.breakStreams(0, 12)
+	f.restart(0, 1)
+	time.Sleep(settleTime)
+	whole := f.resumeAll(1, ids)
+	f.expectUnmixed(ids)
+	f.Expect(whole).To(Equal(len(ids)))
+}
+
 // replace ends the old engines and starts others, with the new software, at their
 // addresses.
 func (f *fleet) replace(old []*pool.Endpoint) {
@@ -142,12 +153,7 @@
 
 	It("goes on at its version after all instances were killed", func() {
 		withVersions(2, func(f *fleet) {
-			ids := f.breakStreams(0, 12)
-			f.restart(0, 1)
-			time.Sleep(settleTime)
-			whole := f.resumeAll(1, ids)
-			f.expectUnmixed(ids)
-			f.Expect(whole).To(Equal(len(ids)))
+			f.expectResumedAfterKill()
 		})
 	})
 
@@ -170,12 +176,7 @@
 		withVersions(4, func(f *fleet) {
 			f.replace(f.engines[:4])
 			time.Sleep(settleTime)
-			ids := f.breakStreams(0, 12)
-			f.restart(0, 1)
-			time.Sleep(settleTime)
-			whole := f.resumeAll(1, ids)
-			f.expectUnmixed(ids)
-			f.Expect(whole).To(Equal(len(ids)))
+			f.expectResumedAfterKill()
 		})
 	})
 
--- a/release/release_test.go
+++ b/release/release_test.go
@@ -37,6 +37,23 @@
 	w.Expect(w.resumed).To(Equal(n))
 }
 
+// expectHalves expects that about half of 100 streams begin at each version, and that they
+// go on after all instances were killed.
+func (w *world) expectHalves(versions ...hbs.SoftwareVersion) {
+	streams := w.beginAt(100, w.nodes...)
+	at := map[hbs.SoftwareVersion]int{}
+	for _, s := range streams {
+		at[s.version]++
+	}
+	for _, v := range versions {
+		w.Expect(at[v]).To(BeNumerically("~", 50, 20), string(v))
+	}
+	w.restart(time.Second, w.nodes...)
+	time.Sleep(readTime)
+	w.resumeAt(streams, w.nodes[1:]...)
+	w.expectResumed(100)
+}
+
 // Guards against streams that are refused although only one version ever served.
 func TestOneVersion(t *testing.T) {
 	withWorld(t, 5, func(w *world) {
@@ -153,17 +170,7 @@
 	withWorld(t, 5, func(w *world) {
 		w.setEndpoints(versions{"a": 3, "b": 3})
 		time.Sleep(settleTime)
-		streams := w.beginAt(100, w.nodes...)
-		at := map[hbs.SoftwareVersion]int{}
-		for _, s := range streams {
-			at[s.version]++
-		}
-		w.Expect(at["a"]).To(BeNumerically("~", 50, 20))
-		w.Expect(at["b"]).To(BeNumerically("~", 50, 20))
-		w.restart(time.Second, w.nodes...)
-		time.Sleep(readTime)
-		w.resumeAt(streams, w.nodes[1:]...)
-		w.expectResumed(100)
+		w.expectHalves("a", "b")
 	})
 }
 
@@ -196,16 +203,7 @@
 		time.Sleep(readTime)
 		w.setEndpoints(versions{"b": 3, "c": 3})
 		time.Sleep(changeTime)
-		streams := w.beginAt(100, w.nodes...)
-		at := map[hbs.SoftwareVersion]int{}
-		for _, s := range streams {
-			at[s.version]++
-		}
-		w.Expect(at["c"]).To(BeNumerically("~", 50, 20))
-		w.restart(time.Second, w.nodes...)
-		time.Sleep(readTime)
-		w.resumeAt(streams, w.nodes[1:]...)
-		w.expectResumed(100)
+		w.expectHalves("b", "c")
 	})
 }
 
