release, gateway: what an earlier lifetime stored is read once the routes are known

Cause: an instance that starts writes its streams at once. If that came before the routes, it took those of its earlier lifetime for ended, since it didn't know for how long streams can be resumed, and wrote over them.

Change: the writer waits for the routes; the Keeper is told when they change.

--- a/gateway/assemble.go
+++ b/gateway/assemble.go
@@ -161,7 +161,7 @@
 	}
 	g.crashes = quarantine.NewSharer(tracker, g.store, g.Log.Named("quarantine"))
 	g.streams = &release.Keeper{
-		Platform: g.store, Self: self.ID, Directory: g.directory, Others: g.presence.Others, ResumeTimes: g.routes.resumeTimes,
+		Platform: g.store, Self: self.ID, Directory: g.directory, Others: g.presence.Others, ResumeTimes: g.routes.resumeTimes, ResumeTimesChanged: g.routes.tableChanged,
 		Restores: g.store.Restores, Metrics: g.Metrics, Log: g.Log.Named("release"),
 	}
 	sender := &forward.Sender{
--- a/release/keeper.go
+++ b/release/keeper.go
@@ -31,8 +31,10 @@
 	// Others returns the other instances; ok is false while they are not known.
 	Others func() (ids []hbs.InstanceID, ok bool)
 	// ResumeTimes returns how long after its begin a stream may be resumed, for each
-	// service with such streams.
+	// service with such streams; empty while that isn't known.
 	ResumeTimes func() map[hbs.ServiceName]time.Duration
+	// ResumeTimesChanged returns a channel that is closed when ResumeTimes changes.
+	ResumeTimesChanged func() <-chan struct{}
 	// Restores returns how many times the store was restored from a copy.
 	Restores func() uint64
 	Metrics  metrics.Registry
--- a/release/maintain.go
+++ b/release/maintain.go
@@ -99,7 +99,7 @@
 func (k *Keeper) maintain(ctx context.Context) error {
 	due := map[hbs.ServiceName]dueRecord{}
 	for {
-		rosterChanged, recordChanged := k.Directory.Changed(), k.recordChanged()
+		rosterChanged, recordChanged, timesChanged := k.Directory.Changed(), k.recordChanged(), k.ResumeTimesChanged()
 		next := idleInterval
 		for service := range k.ResumeTimes() {
 			next = min(next, k.maintainRecord(ctx, service, due))
@@ -108,6 +108,7 @@
 		select {
 		case <-rosterChanged:
 		case <-recordChanged:
+		case <-timesChanged:
 		case <-timer.C:
 		case <-ctx.Done():
 			timer.Stop()
--- a/release/store.go
+++ b/release/store.go
@@ -111,6 +111,9 @@
 // storeStreams writes this instance's streams when asked for, until ctx ends.
 func (k *Keeper) storeStreams(ctx context.Context) error {
 	s := &k.store
+	if err := k.awaitResumeTimes(ctx); err != nil {
+		return err
+	}
 	s.request()
 	for {
 		select {
@@ -133,6 +136,22 @@
 	}
 }
 
+// awaitResumeTimes waits until it is known for how long streams of an earlier lifetime have
+// to be kept.
+func (k *Keeper) awaitResumeTimes(ctx context.Context) error {
+	for {
+		changed := k.ResumeTimesChanged()
+		if len(k.ResumeTimes()) > 0 {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
 // writeStreams writes this instance's streams and the newest record that it knows.
 func (k *Keeper) writeStreams(ctx context.Context) (err error) {
 	defer func() { err = errors.Wrap(err, "store streams") }()
--- a/release/world_test.go
+++ b/release/world_test.go
@@ -29,6 +29,9 @@
 	service = hbs.ServiceName("engines")
 	// resumeTime is how long after its begin a caller resumes a stream.
 	resumeTime = 10 * time.Second
+	// routesTime is the time from an instance's start until it knows the routes. Before
+	// that, it serves no requests.
+	routesTime = 100 * time.Millisecond
 	// readTime is enough for all instances to read a change.
 	readTime = 500 * time.Millisecond
 	// freeTime is enough for all instances to read that the shares have to follow the
@@ -68,6 +71,36 @@
 	d.changed.Send()
 }
 
+// routes tells an instance for how long streams can be resumed, from some time after its
+// start.
+type routes struct {
+	mu      sync.Mutex
+	known   bool
+	changed notification.Signal
+}
+
+func (r *routes) resumeTimes() map[hbs.ServiceName]time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.known {
+		return nil
+	}
+	return map[hbs.ServiceName]time.Duration{service: resumeTime}
+}
+
+func (r *routes) next() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.changed.Next()
+}
+
+func (r *routes) read() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.known = true
+	r.changed.Send()
+}
+
 // node is one instance.
 type node struct {
 	id     hbs.InstanceID
@@ -76,6 +109,7 @@
 	dir    *directory
 	ctx    context.Context
 	kill   context.CancelFunc
+	routes *routes
 	// stopWatch ends the watch of the records; nil while there is none.
 	stopWatch context.CancelFunc
 	cut       bool
@@ -141,12 +175,11 @@
 // start starts an instance, which knows nothing of an earlier lifetime.
 func (w *world) start(n *node) {
 	n.ctx, n.kill = context.WithCancel(w.ctx)
-	n.dir = &directory{roster: w.roster()}
+	n.dir, n.routes = &directory{roster: w.roster()}, &routes{}
+	time.AfterFunc(routesTime, n.routes.read)
 	n.keeper = &release.Keeper{
 		Platform: n.client, Self: n.id, Directory: n.dir, Others: func() ([]hbs.InstanceID, bool) { return w.others(n), true },
-		ResumeTimes: func() map[hbs.ServiceName]time.Duration {
-			return map[hbs.ServiceName]time.Duration{service: resumeTime}
-		},
+		ResumeTimes: n.routes.resumeTimes, ResumeTimesChanged: n.routes.next,
 		Restores: func() uint64 { return 0 },
 		Metrics:  metrics.NewRegistry(), Log: zap.NewNop(),
 	}
@@ -235,6 +268,9 @@
 
 // begin begins a stream at an instance. ok is false if it was refused.
 func (w *world) begin(n *node) (s stream, ok bool) {
+	if n.routes.resumeTimes() == nil {
+		return s, false
+	}
 	w.streams++
 	s = stream{id: hbs.RequestID(fmt.Sprintf("s%d", w.streams)), began: time.Now()}
 	if part := w.streams % 80; part < 60 {
@@ -267,6 +303,9 @@
 
 // resume resumes a stream at an instance.
 func (w *world) resume(n *node, s stream) {
+	if n.routes.resumeTimes() == nil {
+		return
+	}
 	req := &hbs.Request{ID: s.id + "'", Service: service, Resumable: true, Parts: s.parts, Resumes: &hbs.Resumption{Attempt: s.id, After: "3"}}
 	v, err := n.keeper.Version(n.ctx, req)
 	switch {
