--- a/release/release_test.go
+++ b/release/release_test.go
@@ -283,6 +283,7 @@
 		gone := w.nodes[0]
 		gone.kill()
 		w.nodes = w.nodes[1:]
+		w.list()
 		w.setEndpoints(versions{"a": 2, "b": 6})
 		time.Sleep(settleTime)
 		objs, _, err := w.nodes[0].client.List(w.ctx, release.KindStreams)
--- a/release/world_test.go
+++ b/release/world_test.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -131,6 +133,8 @@
 	wg    conc.WaitGroup
 	store objects.Store
 	nodes []*node
+	// listed has the instances that each takes for present.
+	listed atomic.Pointer[[]hbs.InstanceID]
 	// endpoints has the number of endpoints of each version.
 	endpoints map[hbs.SoftwareVersion]int
 	streams   int
@@ -149,8 +153,10 @@
 		defer w.wg.Wait()
 		defer cancel()
 		for i := range n {
-			nd := &node{id: hbs.InstanceID(fmt.Sprintf("i%d", i)), client: &objects.Client{Store: &w.store}}
-			w.nodes = append(w.nodes, nd)
+			w.nodes = append(w.nodes, &node{id: hbs.InstanceID(fmt.Sprintf("i%d", i)), client: &objects.Client{Store: &w.store}})
+		}
+		w.list()
+		for _, nd := range w.nodes {
 			w.start(nd)
 		}
 		time.Sleep(settleTime)
@@ -177,8 +183,9 @@
 	n.ctx, n.kill = context.WithCancel(w.ctx)
 	n.dir, n.routes = &directory{roster: w.roster()}, &routes{}
 	time.AfterFunc(routesTime, n.routes.read)
+	id := n.id
 	n.keeper = &release.Keeper{
-		Platform: n.client, Self: n.id, Directory: n.dir, Others: func() ([]hbs.InstanceID, bool) { return w.others(n), true },
+		Platform: n.client, Self: n.id, Directory: n.dir, Others: func() ([]hbs.InstanceID, bool) { return w.others(id), true },
 		ResumeTimes: n.routes.resumeTimes, ResumeTimesChanged: n.routes.next,
 		Restores: func() uint64 { return 0 },
 		Metrics:  metrics.NewRegistry(), Log: zap.NewNop(),
@@ -188,13 +195,17 @@
 	w.watch(n)
 }
 
-func (w *world) others(self *node) (ids []hbs.InstanceID) {
+// list lists the instances.
+func (w *world) list() {
+	var ids []hbs.InstanceID
 	for _, n := range w.nodes {
-		if n != self {
-			ids = append(ids, n.id)
-		}
+		ids = append(ids, n.id)
 	}
-	return ids
+	w.listed.Store(&ids)
+}
+
+func (w *world) others(self hbs.InstanceID) []hbs.InstanceID {
+	return slices.DeleteFunc(slices.Clone(*w.listed.Load()), func(id hbs.InstanceID) bool { return id == self })
 }
 
 // watch reads the records until the instance ends or is cut off.
