--- a/lease/lease.go
+++ b/lease/lease.go
@@ -54,13 +54,13 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
 	hbs "github.com/hornbeamstage/hornbeamstage"
 	"github.com/hornbeamstage/hornbeamstage/object"
+	"github.com/hornbeamstage/hornbeamstage/rendezvous"
 )
 
 // ErrNotHeld means that this instance does not hold the lease, or not any more.
@@ -273,18 +273,13 @@
 // isCandidate reports whether this instance is one of the maxCandidates live
 // instances of the domain with the highest rendezvous hash.
 func (h *Holder) isCandidate() bool {
-	ahead := 0
-	mine := rank(h.Self.Domain, h.Self.ID)
+	var live []hbs.InstanceID
 	for _, i := range h.Directory.Roster().Instances {
-		if i.Domain == h.Self.Domain && i.State == hbs.InstanceLive && rank(i.Domain, i.ID) > mine {
-			ahead++
+		if i.Domain == h.Self.Domain && i.State == hbs.InstanceLive {
+			live = append(live, i.ID)
 		}
 	}
-	return ahead < maxCandidates
-}
-
-func rank(domain hbs.DomainName, id hbs.InstanceID) uint64 {
-	return xxhash.Sum64String(string(domain) + "/" + string(id))
+	return rendezvous.Place(string(h.Self.Domain), h.Self.ID, live) < maxCandidates
 }
 
 // renewDelay returns the time to the next renewal or read, with jitter.
