--- a/gateway/routestate.go
+++ b/gateway/routestate.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"cmp"
 	"math"
 	"net/netip"
 	"sync"
@@ -97,14 +96,6 @@
 // load from each other.
 func (s *routeState) transferRate(name hbs.ServiceName) float64 { return s.service(name).TransferRate }
 
-const (
-	// resumeMargin is added to a route's timeout: callers may take a moment to resume a
-	// stream.
-	resumeMargin = 2 * time.Second
-	// defaultResumeTime applies to routes without a timeout.
-	defaultResumeTime = 30 * time.Second
-)
-
 // resumeTimes returns how long after its begin a stream may be resumed, for each service
 // with such streams.
 func (s *routeState) resumeTimes() map[hbs.ServiceName]time.Duration {
@@ -112,11 +103,7 @@
 	if t == nil {
 		return nil
 	}
-	times := map[hbs.ServiceName]time.Duration{}
-	for name, timeout := range t.Resumable() {
-		times[name] = cmp.Or(timeout, defaultResumeTime-resumeMargin) + resumeMargin
-	}
-	return times
+	return t.ResumeTimes()
 }
 
 // kvStore returns the KV cache store, nil if there is none.
--- a/route/route.go
+++ b/route/route.go
@@ -13,6 +13,7 @@
 package route
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"net"
 	"net/netip"
@@ -124,10 +125,9 @@
 	RequiresKey bool
 
 	hosts map[string][]*Route
-	// resumable has the services with resumable streams and the longest timeout of their
-	// routes.
-	resumable map[hbs.ServiceName]time.Duration
-	services  map[hbs.ServiceName]*Service
+	// resumeTimes is the result of ResumeTimes.
+	resumeTimes map[hbs.ServiceName]time.Duration
+	services    map[hbs.ServiceName]*Service
 	// store is the first KV cache store in Services, or nil.
 	store *KVStore
 	// keys is indexed by the hash of a key, so that the time of a lookup does not depend
@@ -147,7 +147,7 @@
 // after Routes and Services are complete.
 func (t *Table) Index() (err error) {
 	defer func() { err = errors.Wrapf(err, "route table %d", t.Version) }()
-	t.hosts, t.resumable = map[string][]*Route{}, map[hbs.ServiceName]time.Duration{}
+	t.hosts = map[string][]*Route{}
 	for i := range t.Routes {
 		r := &t.Routes[i]
 		if err := r.validate(); err != nil {
@@ -155,8 +155,8 @@
 		}
 		host := normalizeHost(r.Host)
 		t.hosts[host] = append(t.hosts[host], r)
-		t.indexResumable(r)
 	}
+	t.indexResumeTimes()
 	t.services = map[hbs.ServiceName]*Service{}
 	for i := range t.Services {
 		s := &t.Services[i]
@@ -171,18 +171,33 @@
 	return nil
 }
 
-func (t *Table) indexResumable(r *Route) {
-	if !r.Stream || !r.Resumable {
-		return
+const (
+	// resumeMargin is added to a route's timeout: callers may take a moment to resume a
+	// stream.
+	resumeMargin = 2 * time.Second
+	// defaultResumeTime applies to services whose routes have no timeout.
+	defaultResumeTime = 30 * time.Second
+)
+
+func (t *Table) indexResumeTimes() {
+	t.resumeTimes = map[hbs.ServiceName]time.Duration{}
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		if !r.Stream || !r.Resumable {
+			continue
+		}
+		for _, s := range r.Split {
+			t.resumeTimes[s.Service] = max(t.resumeTimes[s.Service], r.Timeout)
+		}
 	}
-	for _, s := range r.Split {
-		t.resumable[s.Service] = max(t.resumable[s.Service], r.Timeout)
+	for name, timeout := range t.resumeTimes {
+		t.resumeTimes[name] = cmp.Or(timeout, defaultResumeTime-resumeMargin) + resumeMargin
 	}
 }
 
-// Resumable returns the services with streams that callers may resume, and the longest
-// timeout of their routes, 0 if they have none. It must not be changed.
-func (t *Table) Resumable() map[hbs.ServiceName]time.Duration { return t.resumable }
+// ResumeTimes returns how long after its begin a stream may be resumed, for each service
+// with such streams. It must not be changed.
+func (t *Table) ResumeTimes() map[hbs.ServiceName]time.Duration { return t.resumeTimes }
 
 func (r *Route) validate() error {
 	switch {
