release, gateway: the attempt that began a stream has one function; one version needs no hash

Gateway and release told that attempt each by itself. Shares of one version, as there are almost always, name it without the key of the prompt's parts, which was joined and hashed for each placement and first event. The sum of the weights stands once.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -141,7 +141,7 @@
 	if q.Resumable = x.route.Stream && x.route.Resumable; q.Resumable {
 		q.Resumes = p.Resumes
 	}
-	q.Service = x.route.ChooseService(streamID(q), x.h.hasLiveEndpoint)
+	q.Service = x.route.ChooseService(cmp.Or(q.StreamID(), q.ID), x.h.hasLiveEndpoint)
 	q.Model = p.Model
 	q.Host, q.Method, q.Path = x.r.Host, x.r.Method, x.r.RequestURI
 	q.Header = platform.ForwardedHeader(x.r.Header)
@@ -168,15 +168,6 @@
 	q.Fingerprint = fingerprint(q)
 }
 
-// streamID returns the ID of the request that began the stream of q, which is q's own
-// unless it resumes another one.
-func streamID(q *hbs.Request) hbs.RequestID {
-	if q.Resumes != nil {
-		return cmp.Or(q.Resumes.Attempt, q.ID)
-	}
-	return q.ID
-}
-
 // deadline returns when the request ends: at the caller's deadline or the
 // route's timeout, whichever is earlier, or after defaultTimeout if there is
 // neither.
--- a/release/keeper.go
+++ b/release/keeper.go
@@ -102,7 +102,7 @@
 // isKept reports whether the version of the stream that req begins or resumes at v has to
 // be known later.
 func isKept(req *hbs.Request, v hbs.SoftwareVersion) bool {
-	return req.Resumable && v != "" && streamID(req) != ""
+	return req.Resumable && v != "" && req.StreamID() != ""
 }
 
 // slots returns the slots of a service's endpoints. The result must not be changed.
@@ -149,7 +149,7 @@
 	if st.phase(k.Restores()) == phaseFree {
 		return hbs.AnySoftware, true
 	}
-	v = st.Shares.of(streamKey(req))
+	v = st.Shares.of(req)
 	return v, slots[v] > 0
 }
 
@@ -200,7 +200,7 @@
 	case found.streams[id] != "":
 		return found.streams[id], sourceStored
 	case found.phase == phaseSettled || found.phase == phaseKnown && id != "":
-		return found.shares.settled(streamKey(req)), sourceRecord
+		return found.shares.settled(req), sourceRecord
 	}
 	return "", sourceNone
 }
@@ -219,11 +219,11 @@
 // addStream adds a stream and returns the number of the write that stores it, 0 if it
 // doesn't have to be stored.
 func (k *Keeper) addStream(req *hbs.Request, v hbs.SoftwareVersion) (ticket uint64) {
-	id, until := streamID(req), k.resumableUntil(req.Service)
+	id, until := req.StreamID(), k.resumableUntil(req.Service)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	st := k.states[req.Service]
-	if !st.phase(k.Restores()).ambiguous() && st.Shares.of(streamKey(req)) == v {
+	if !st.phase(k.Restores()).ambiguous() && st.Shares.of(req) == v {
 		k.keep(id, stream{version: v, until: until})
 		return 0
 	}
--- a/release/share.go
+++ b/release/share.go
@@ -37,7 +37,7 @@
 // its request. The key is empty if that ID isn't known.
 func streamKey(req *hbs.Request) string {
 	if len(req.Parts) == 0 {
-		return string(streamID(req))
+		return string(req.StreamID())
 	}
 	var key strings.Builder
 	for _, p := range req.Parts {
@@ -47,15 +47,6 @@
 	return key.String()
 }
 
-// streamID returns the ID of the attempt that began the stream of req, empty if the caller
-// that resumes it doesn't tell.
-func streamID(req *hbs.Request) hbs.RequestID {
-	if req.Resumes != nil {
-		return req.Resumes.Attempt
-	}
-	return req.ID
-}
-
 func (s shares) validate() error {
 	seen := map[hbs.SoftwareVersion]bool{}
 	for _, p := range s {
@@ -70,32 +61,39 @@
 	return nil
 }
 
-// of returns the version of the stream with a key, "" if there are no shares. Few keys
-// change their version when the shares change little.
-func (s shares) of(key string) hbs.SoftwareVersion {
-	total := 0
-	for _, p := range s {
-		total += p.Weight
+// of returns the version of the stream that req begins or resumes, "" if there are no shares.
+// Few streams change their version when the shares change little.
+func (s shares) of(req *hbs.Request) hbs.SoftwareVersion {
+	switch len(s) {
+	case 0:
+		return ""
+	case 1:
+		return s[0].Version
 	}
-	left := float64(xxhash.Sum64String(key)) / (1 << 64) * float64(total)
+	left := float64(xxhash.Sum64String(streamKey(req))) / (1 << 64) * float64(s.total())
 	for _, p := range s {
 		if left -= float64(p.Weight); left < 0 {
 			return p.Version
 		}
 	}
-	if len(s) == 0 {
-		return ""
-	}
 	return s[len(s)-1].Version
 }
 
 // settled returns the version of a stream that can only have begun by these shares, "" if
 // its key is empty and more than one version has a share.
-func (s shares) settled(key string) hbs.SoftwareVersion {
-	if key == "" && len(s) > 1 {
+func (s shares) settled(req *hbs.Request) hbs.SoftwareVersion {
+	if len(s) > 1 && streamKey(req) == "" {
 		return ""
 	}
-	return s.of(key)
+	return s.of(req)
+}
+
+// total returns the sum of the weights.
+func (s shares) total() (n int) {
+	for _, p := range s {
+		n += p.Weight
+	}
+	return n
 }
 
 // weight returns the weight of a version, 0 if it has no share.
@@ -160,10 +158,7 @@
 // skewed reports whether a version's share of the streams differs from that of the slots by
 // more than maxSkew.
 func (s versionSlots) skewed(have shares) bool {
-	weights, slots := 0, float64(s.total())
-	for _, p := range have {
-		weights += p.Weight
-	}
+	weights, slots := have.total(), float64(s.total())
 	for v, n := range s {
 		want, is := float64(n)/slots, float64(have.weight(v))/float64(weights)
 		if is == 0 && want < minShare {
--- a/request.go
+++ b/request.go
@@ -133,6 +133,15 @@
 	After string
 }
 
+// StreamID returns the ID of the attempt that began the stream of q, empty if the caller that
+// resumes it doesn't tell.
+func (q *Request) StreamID() RequestID {
+	if q.Resumes != nil {
+		return q.Resumes.Attempt
+	}
+	return q.ID
+}
+
 // StreamKeeper keeps each resumable stream at one version of the endpoints' software.
 type StreamKeeper interface {
 	// Version returns the version whose endpoints may serve req, or AnySoftware; empty if
