--- a/gateway/software_test.go
+++ b/gateway/software_test.go
@@ -99,15 +99,20 @@
 	}
 }
 
+// expectResumed expects that streams go on at instance 1, at their version.
+func (f *fleet) expectResumed(ids []string) {
+	whole := f.resumeAll(1, ids)
+	f.expectUnmixed(ids)
+	f.Expect(whole).To(Equal(len(ids)))
+}
+
 // expectResumedAfterKill expects that streams go on, at their version, after all instances
 // were killed.
 func (f *fleet) expectResumedAfterKill() {
 	ids := f.breakStreams(0, 12)
 	f.restart(0, 1)
 	time.Sleep(settleTime)
-	whole := f.resumeAll(1, ids)
-	f.expectUnmixed(ids)
-	f.Expect(whole).To(Equal(len(ids)))
+	f.expectResumed(ids)
 }
 
 // replace ends the old engines and starts others, with the new software, at their
@@ -145,9 +150,7 @@
 	It("is not joined with another version when the caller resumes it at another instance", func() {
 		withVersions(2, func(f *fleet) {
 			ids := f.breakStreams(0, 12)
-			whole := f.resumeAll(1, ids)
-			f.expectUnmixed(ids)
-			f.Expect(whole).To(Equal(len(ids)))
+			f.expectResumed(ids)
 		})
 	})
 
--- a/release/release_test.go
+++ b/release/release_test.go
@@ -37,6 +37,12 @@
 	w.Expect(w.resumed).To(Equal(n))
 }
 
+// restartAll kills all instances and starts them again.
+func (w *world) restartAll() {
+	w.restart(time.Second, w.nodes...)
+	time.Sleep(readTime)
+}
+
 // expectHalves expects that about half of 100 streams begin at each version, and that they
 // go on after all instances were killed.
 func (w *world) expectHalves(versions ...hbs.SoftwareVersion) {
@@ -48,8 +54,7 @@
 	for _, v := range versions {
 		w.Expect(at[v]).To(BeNumerically("~", 50, 20), string(v))
 	}
-	w.restart(time.Second, w.nodes...)
-	time.Sleep(readTime)
+	w.restartAll()
 	w.resumeAt(streams, w.nodes[1:]...)
 	w.expectResumed(100)
 }
@@ -58,8 +63,7 @@
 func TestOneVersion(t *testing.T) {
 	withWorld(t, 5, func(w *world) {
 		streams := w.beginAt(20, w.nodes...)
-		w.restart(time.Second, w.nodes...)
-		time.Sleep(readTime)
+		w.restartAll()
 		w.resumeAt(streams, w.nodes[1:]...)
 		w.expectResumed(20)
 	})
@@ -111,8 +115,7 @@
 			time.Sleep(readTime)
 			streams = append(streams, w.beginAt(20, w.nodes...)...)
 		}
-		w.restart(time.Second, w.nodes...)
-		time.Sleep(readTime)
+		w.restartAll()
 		w.resumeAt(streams, w.nodes[2:]...)
 		left := 0
 		for _, s := range streams {
@@ -157,8 +160,7 @@
 		w.setEndpoints(versions{"a": 2, "b": 6})
 		time.Sleep(changeTime)
 		w.resumeAt(streams, w.nodes[1:]...)
-		w.restart(time.Second, w.nodes...)
-		time.Sleep(readTime)
+		w.restartAll()
 		w.resumeAt(streams, w.nodes[2:]...)
 		w.expectResumed(20)
 	})
@@ -232,8 +234,7 @@
 		calls := w.calls()
 		after := w.beginAt(50, w.nodes...)
 		w.Expect(w.calls()).To(Equal(calls))
-		w.restart(time.Second, w.nodes...)
-		time.Sleep(readTime)
+		w.restartAll()
 		w.resumeAt(append(before, after...), w.nodes[1:]...)
 		w.expectResumed(70)
 	})
